feat: serve the platform's callers through a gateway that sends straight to upstreams

Cause: nothing of the project spoke the platform's protocol. Change: platform/ translates the store, routes, keys and heads of requests; the product gains routes, keys with a proof of freshness, an upstream directory, places per engine shared between gateways, stream resumption and a budget for second sends. Each exchange uses a connection of its own, so no answer of another request can arrive on it.

--- a/src/defaults.ts
+++ b/src/defaults.ts
@@ -28,6 +28,8 @@
   loadReportMaxIntervalMs: 1_000,
   /** Extra attempts allowed per first attempt; bounds load amplification in an outage. */
   retryBudgetRatio: 0.1,
+  /** Part of a service's repeat ratio that one gateway uses; the rest covers requests counted in another window. */
+  repeatBudgetUse: 0.6,
   retryBudgetBurst: 10,
   /** No new work goes to an upstream that shows no progress for this long. */
   stallTimeoutMs: 1_000,
--- /dev/null
+++ b/src/process/gateway/configurationHolder.ts
@@ -0,0 +1,85 @@
+import type { RoutingConfiguration, Workspace } from '../../version/routing/types.js';
+import { RouteTable } from '../../version/routing/routeTable.js';
+
+/** A configuration version together with its route table. */
+export interface HeldConfiguration {
+  readonly configuration: RoutingConfiguration;
+  readonly table: RouteTable;
+}
+
+/**
+ * The newest configuration known and how fresh that knowledge is.
+ *
+ * A key may be honoured only while a read of the store that began less than `maxProofAgeMs` ago has shown the
+ * configuration that grants it. Versions never go back within one process.
+ */
+export class ConfigurationHolder {
+  private held: HeldConfiguration | undefined;
+  private provenAt = -Infinity;
+
+  constructor(private readonly maxProofAgeMs: number) {}
+
+  get current(): HeldConfiguration | undefined {
+    return this.held;
+  }
+
+  get version(): number {
+    return this.held?.configuration.version ?? 0;
+  }
+
+  /**
+   * Takes over what a read of the store returned.
+   *
+   * @param configuration - Decoded configuration
+   * @param readBeganAt - When the read was sent, on the suspend-aware clock
+   * @returns True when the version is newer than the one held
+   */
+  applyRead(configuration: RoutingConfiguration, readBeganAt: number): boolean {
+    if (configuration.version < this.version) return false;
+    this.provenAt = Math.max(this.provenAt, readBeganAt);
+    if (configuration.version === this.version) return false;
+    this.held = { configuration, table: new RouteTable(configuration) };
+    return true;
+  }
+
+  /**
+   * Notes that the held version was still the newest at a time.
+   *
+   * @param version - Version that the store showed
+   * @param readBeganAt - When the read was sent, on the suspend-aware clock
+   */
+  noteUnchanged(version: number, readBeganAt: number): void {
+    if (version === this.version) this.provenAt = Math.max(this.provenAt, readBeganAt);
+  }
+
+  /**
+   * Computes how old the proof of the held version is.
+   *
+   * @param now - Suspend-aware clock
+   * @returns Milliseconds, infinite without any read
+   */
+  computeProofAge(now: number): number {
+    return now - this.provenAt;
+  }
+
+  /**
+   * Checks whether keys may be honoured.
+   *
+   * @param now - Suspend-aware clock
+   * @returns False when a key may have been revoked without notice
+   */
+  isFresh(now: number): boolean {
+    return this.computeProofAge(now) < this.maxProofAgeMs;
+  }
+
+  /**
+   * Finds the workspace that holds a key.
+   *
+   * @param key - Key of the caller
+   * @returns The workspace, or undefined when no workspace holds the key
+   */
+  findWorkspace(key: string | undefined): Workspace | undefined {
+    if (key === undefined) return undefined;
+    return this.held?.configuration.workspaceByKey?.get(key);
+  }
+}
--- /dev/null
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -0,0 +1,253 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import { randomUUID } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
+import polka from 'polka';
+import { defaults } from '../../defaults.js';
+import type { ServiceId } from '../../ids.js';
+import { toId } from '../../ids.js';
+import type { AvailabilityZoneId } from '../../ids.js';
+import { PlaceBoard } from '../../request/admission/placeBoard.js';
+import { SuspectTable } from '../../request/admission/suspectTable.js';
+import { WaitingLine } from '../../request/admission/waitingLine.js';
+import { forwardRequest } from '../../request/forwarding/forwardRequest.js';
+import type { ForwardingContext } from '../../request/forwarding/types.js';
+import { WindowBudget } from '../../request/retry/windowBudget.js';
+import type { Logger } from '../logging.js';
+import { Metrics } from '../metrics.js';
+import type { GatewaySettings } from '../settings/gatewaySettings.js';
+import { ConfigurationHolder } from './configurationHolder.js';
+import { GatewayPeers } from './gatewayPeers.js';
+import { maintainConfiguration, maintainUpstreams } from './platformPolling.js';
+import { SuspendClock } from './suspendClock.js';
+import type { ConfigurationSource, HeadCodec } from './types.js';
+import { UpstreamDirectory } from './upstreamDirectory.js';
+
+/** Waiting requests are looked at this often, besides whenever a place comes free. */
+const DISPATCH_INTERVAL_MS = 20;
+/** Clients reach a stopping gateway until the balancer has missed two readiness checks, one a second. */
+const LISTEN_AFTER_STOP_MS = 2_600;
+/** The process ends this long before it would be killed. */
+const EXIT_MARGIN_MS = 500;
+/** A key is refused this long before its proof reaches the limit; covers one queued request and clock drift. */
+const PROOF_MARGIN_MS = 500;
+const DRAIN_CHECK_MS = 25;
+
+export interface GatewayDependencies {
+  readonly source: ConfigurationSource;
+  readonly codec: HeadCodec;
+  readonly logger: Logger;
+}
+
+/** The process that takes callers' requests and forwards them to upstreams. */
+export class GatewayDaemon {
+  readonly metrics = new Metrics();
+  private readonly clock = new SuspendClock(performance.now(), Date.now());
+  private readonly stopping = new AbortController();
+  private readonly holder: ConfigurationHolder;
+  private readonly directory = new UpstreamDirectory();
+  private readonly board: PlaceBoard;
+  private readonly lines = new Map<ServiceId, WaitingLine>();
+  private readonly budgets = new Map<ServiceId, WindowBudget>();
+  private readonly front: Server;
+  private readonly ready: Server;
+  private readonly peers: GatewayPeers;
+  private readonly context: ForwardingContext;
+  private readonly incarnation = randomUUID();
+  private isDraining = false;
+  private active = 0;
+
+  constructor(
+    private readonly settings: GatewaySettings,
+    private readonly dependencies: GatewayDependencies,
+  ) {
+    const { logger, codec } = dependencies;
+    this.holder = new ConfigurationHolder(settings.keyProofMs - PROOF_MARGIN_MS);
+    this.board = new PlaceBoard({
+      availabilityZone: toId<AvailabilityZoneId>(settings.availabilityZone),
+      listReady: (service) => this.directory.listReady(service),
+      getService: (service) => this.holder.current?.configuration.services.get(service),
+      getMaxGapMs: (service) => this.getMaxGapMs(service),
+    });
+    this.context = {
+      holder: this.holder,
+      directory: this.directory,
+      board: this.board,
+      suspects: new SuspectTable(),
+      codec,
+      logger,
+      metrics: this.metrics,
+      readNow: () => this.readNow(),
+      getLine: (service) => this.getLine(service),
+      getBudget: (service) => this.getBudget(service),
+      isDraining: () => this.isDraining,
+    };
+    this.front = createServer({ maxHeaderSize: defaults.maxHeaderBytes });
+    this.ready = createServer();
+    this.peers = new GatewayPeers({
+      address: settings.linkAddress,
+      seeds: settings.seeds,
+      self: () => ({
+        type: 'hello',
+        version: defaults.protocolVersion,
+        role: 'gateway',
+        processId: settings.processId,
+        incarnation: this.incarnation,
+        host: settings.linkAddress,
+        availabilityZone: settings.availabilityZone,
+        upstreams: [],
+      }),
+      board: this.board,
+      logger,
+      signal: this.stopping.signal,
+      readNow: () => this.readNow(),
+      onCounts: () => {
+        this.dispatchAll();
+      },
+    });
+  }
+
+  /** Opens all ports and starts to read the store. */
+  async start(): Promise<void> {
+    const { settings, dependencies } = this;
+    polka({ server: this.front })
+      .use((request: IncomingMessage, response: ServerResponse) => {
+        void this.serve(request, response);
+      })
+      .listen(settings.frontPort, settings.host);
+    polka({ server: this.ready })
+      .get('/ready', (_request: IncomingMessage, response: ServerResponse) => {
+        response.writeHead(this.isReady() ? 200 : 503).end();
+      })
+      .get('/metrics', (_request: IncomingMessage, response: ServerResponse) => {
+        response.end(JSON.stringify(this.metrics.summarize()));
+      })
+      .get('/dump', (_request: IncomingMessage, response: ServerResponse) => {
+        response.end(JSON.stringify(this.dump()));
+      })
+      .listen(settings.readyPort, settings.host);
+    await this.peers.start();
+    const polling = {
+      ...dependencies,
+      holder: this.holder,
+      directory: this.directory,
+      metrics: this.metrics,
+      signal: this.stopping.signal,
+      readNow: () => this.readNow(),
+      onChange: () => {
+        this.applyLimits();
+        this.dispatchAll();
+      },
+    };
+    void maintainConfiguration(polling);
+    void maintainUpstreams(polling);
+    const timer = setInterval(() => {
+      this.dispatchAll();
+    }, DISPATCH_INTERVAL_MS);
+    this.stopping.signal.addEventListener('abort', () => {
+      clearInterval(timer);
+    });
+    dependencies.logger.info({ incarnation: this.incarnation }, 'gateway started');
+  }
+
+  /**
+   * Stops gracefully: no longer ready at once, then no new connections, then the end of the last request.
+   *
+   * @returns When all requests have ended or the limit is reached
+   */
+  async drain(): Promise<void> {
+    const startedAt = performance.now();
+    this.isDraining = true;
+    this.dependencies.logger.info({ active: this.active }, 'draining');
+    await sleep(LISTEN_AFTER_STOP_MS);
+    this.front.close();
+    this.front.closeIdleConnections();
+    const limit = startedAt + this.settings.stopLimitMs - EXIT_MARGIN_MS;
+    while (this.active > 0 && performance.now() < limit) await sleep(DRAIN_CHECK_MS);
+    await sleep(DRAIN_CHECK_MS);
+    this.stopping.abort();
+    this.ready.close();
+    this.dependencies.source.close();
+    this.dependencies.logger.info({ unfinished: this.active }, 'gateway stopped');
+  }
+
+  /**
+   * Describes the state without secrets.
+   *
+   * @returns Versions, fleet, loads and queues
+   */
+  dump(): unknown {
+    const now = this.readNow();
+    return {
+      process: this.settings.processId,
+      incarnation: this.incarnation,
+      isReady: this.isReady(),
+      isDraining: this.isDraining,
+      active: this.active,
+      configurationVersion: this.holder.version,
+      proofAgeMs: this.holder.computeProofAge(now),
+      gateways: this.peers.size,
+      upstreams: this.directory.listAll(),
+      loads: this.board.describe(now),
+      waiting: Object.fromEntries([...this.lines].map(([id, line]) => [id, line.length])),
+    };
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.active += 1;
+    try {
+      await forwardRequest(this.context, { request, response });
+    } finally {
+      this.active -= 1;
+    }
+  }
+
+  private isReady(): boolean {
+    return !this.isDraining && this.holder.isFresh(this.readNow()) && this.directory.listAll().length > 0;
+  }
+
+  private readNow(): number {
+    return this.clock.readNow(performance.now(), Date.now());
+  }
+
+  private dispatchAll(): void {
+    const now = this.readNow();
+    for (const line of this.lines.values()) if (line.length > 0) line.dispatchWaiting(now);
+  }
+
+  private applyLimits(): void {
+    const limits = this.holder.current?.configuration.limits;
+    if (limits === undefined) return;
+    this.front.headersTimeout = limits.headerTimeoutMs;
+    this.front.keepAliveTimeout = limits.idleTimeoutMs;
+    this.front.requestTimeout = 0;
+  }
+
+  private getMaxGapMs(service: ServiceId): number {
+    let lowest = Infinity;
+    for (const route of this.holder.current?.configuration.routes ?? []) {
+      if (route.targetGapMs <= 0 || route.targetGapMs >= lowest) continue;
+      if (route.shares.some((share) => share.service === service)) lowest = route.targetGapMs;
+    }
+    return lowest;
+  }
+
+  private getLine(service: ServiceId): WaitingLine {
+    let line = this.lines.get(service);
+    if (line === undefined) {
+      line = new WaitingLine(service, this.board);
+      this.lines.set(service, line);
+    }
+    return line;
+  }
+
+  private getBudget(service: ServiceId): WindowBudget {
+    let budget = this.budgets.get(service);
+    if (budget === undefined) {
+      const { windowMs, ratio, extra, gateways } = this.settings.repeats;
+      budget = new WindowBudget(windowMs, ratio, extra / gateways);
+      this.budgets.set(service, budget);
+    }
+    return budget;
+  }
+}
--- /dev/null
+++ b/src/process/gateway/upstreamDirectory.ts
@@ -0,0 +1,107 @@
+import type { ServiceId, UpstreamId } from '../../ids.js';
+import type { UpstreamEntry } from '../../version/routing/types.js';
+
+/** Reads further apart than this mean that the store was away in between; reads are sent every 0.7 s. */
+const OUTAGE_GAP_MS = 1_600;
+/** Entries that lapsed during an outage are back about 2 s after its end. */
+const LAPSE_GRACE_MS = 2_200;
+
+export interface DirectoryChange {
+  readonly upstream: UpstreamId;
+  readonly change: 'added' | 'draining' | 'removed' | 'held' | 'restarted';
+}
+
+/**
+ * The upstreams that may get work, as announced in the store.
+ *
+ * Leaving is final: an upstream that was seen draining or removed is not used again under the same start, also when a
+ * stale read still lists it. Entries that vanish while the store is away are kept until shortly after its return.
+ */
+export class UpstreamDirectory {
+  private entries = new Map<UpstreamId, UpstreamEntry>();
+  private readonly byService = new Map<ServiceId, UpstreamEntry[]>();
+  private lastReadAt: number | undefined;
+  private holdUntil = -Infinity;
+
+  /**
+   * Lists the upstreams of a service that may get new work.
+   *
+   * @param service - Service id
+   * @returns Upstreams that are neither draining nor gone
+   */
+  listReady(service: ServiceId): readonly UpstreamEntry[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  /**
+   * Lists every known upstream, draining ones included.
+   *
+   * @returns Entries in no particular order
+   */
+  listAll(): readonly UpstreamEntry[] {
+    return [...this.entries.values()];
+  }
+
+  /**
+   * Checks whether an upstream may still get new work.
+   *
+   * @param id - Upstream id
+   * @returns False when it is draining, gone or unknown
+   */
+  isReady(id: UpstreamId): boolean {
+    return this.entries.get(id)?.isDraining === false;
+  }
+
+  /**
+   * Takes over a complete listing.
+   *
+   * @param listed - All readable entries
+   * @param readBeganAt - When the read was sent, milliseconds
+   * @param now - Milliseconds
+   * @returns What changed
+   */
+  applyListing(
+    listed: readonly UpstreamEntry[],
+    readBeganAt: number,
+    now: number,
+  ): DirectoryChange[] {
+    const gapMs = this.lastReadAt === undefined ? 0 : readBeganAt - this.lastReadAt;
+    if (gapMs > OUTAGE_GAP_MS) this.holdUntil = now + LAPSE_GRACE_MS;
+    this.lastReadAt = readBeganAt;
+    const changes: DirectoryChange[] = [];
+    const next = new Map<UpstreamId, UpstreamEntry>();
+    for (const entry of listed) next.set(entry.id, this.mergeEntry(entry, changes));
+    for (const [id, entry] of this.entries) {
+      if (next.has(id)) continue;
+      const isHeld = now < this.holdUntil && !entry.isDraining;
+      if (isHeld) next.set(id, entry);
+      changes.push({ upstream: id, change: isHeld ? 'held' : 'removed' });
+    }
+    this.entries = next;
+    this.indexByService();
+    return changes;
+  }
+
+  private mergeEntry(entry: UpstreamEntry, changes: DirectoryChange[]): UpstreamEntry {
+    const known = this.entries.get(entry.id);
+    if (known === undefined) {
+      changes.push({ upstream: entry.id, change: 'added' });
+      return entry;
+    }
+    const isRestarted = (entry.startedAt ?? 0) > (known.startedAt ?? 0);
+    if (isRestarted) changes.push({ upstream: entry.id, change: 'restarted' });
+    if (known.isDraining && !isRestarted) return { ...entry, isDraining: true };
+    if (entry.isDraining) changes.push({ upstream: entry.id, change: 'draining' });
+    return entry;
+  }
+
+  private indexByService(): void {
+    this.byService.clear();
+    for (const entry of this.entries.values()) {
+      if (entry.isDraining) continue;
+      const entries = this.byService.get(entry.service) ?? [];
+      entries.push(entry);
+      this.byService.set(entry.service, entries);
+    }
+  }
+}
--- /dev/null
+++ b/src/process/settings/gatewaySettings.ts
@@ -0,0 +1,114 @@
+import { readFileSync } from 'node:fs';
+import { parse } from 'ini';
+import type { Result } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
+import { z } from 'zod';
+import { parseAddress } from '../../connection/linkClient.js';
+import type { LogLevel } from '../logging.js';
+import type { SettingsError } from './readSettings.js';
+
+export interface GatewaySettings {
+  readonly processId: string;
+  readonly availabilityZone: string;
+  readonly logLevel: LogLevel;
+  readonly host: string;
+  readonly frontPort: number;
+  readonly readyPort: number;
+  /** Own address for links between gateways, `ip:port`. */
+  readonly linkAddress: string;
+  readonly seeds: readonly string[];
+  readonly storeAddress: string;
+  /** A revoked key must not be honoured longer than this. */
+  readonly keyProofMs: number;
+  /** Time from SIGTERM to SIGKILL. */
+  readonly stopLimitMs: number;
+  readonly repeats: {
+    readonly windowMs: number;
+    readonly ratio: number;
+    readonly extra: number;
+    /** Gateways among which the extra is split. */
+    readonly gateways: number;
+  };
+}
+
+const address = z
+  .string()
+  .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, { error: 'expected an address such as 10.0.0.1:8080' });
+const number = z.coerce.number({ error: 'expected a number' }).nonnegative();
+const addresses = z
+  .string()
+  .default('')
+  .transform((text) => text.split(',').map((part) => part.trim()).filter((part) => part !== ''));
+
+const gatewaySchema = z.object({
+  process: z.object({
+    id: z.string().min(1),
+    availability_zone: z.string().min(1),
+    log_level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+    stop_limit_seconds: number,
+  }),
+  listen: z.object({ front: address, ready: address, links: address }),
+  peers: z.object({ seeds: addresses }),
+  store: z.object({ address }),
+  keys: z.object({ proof_ms: number }),
+  repeats: z.object({
+    window_seconds: number,
+    ratio: number,
+    extra: number,
+    gateways: z.coerce.number().int().positive().default(8),
+  }),
+});
+
+/**
+ * Reads the settings of a gateway.
+ *
+ * @param file - Path of the INI file
+ * @returns Settings, or every problem with file, `section.key` and what was expected
+ */
+export function readGatewaySettings(file: string): Result<GatewaySettings, SettingsError[]> {
+  return readSections(file, gatewaySchema).map(({ process, listen, peers, store, keys, repeats }) => ({
+    processId: process.id,
+    availabilityZone: process.availability_zone,
+    logLevel: process.log_level,
+    host: parseAddress(listen.front).host,
+    frontPort: parseAddress(listen.front).port,
+    readyPort: parseAddress(listen.ready).port,
+    linkAddress: listen.links,
+    seeds: peers.seeds,
+    storeAddress: store.address,
+    keyProofMs: keys.proof_ms,
+    stopLimitMs: process.stop_limit_seconds * 1000,
+    repeats: {
+      windowMs: repeats.window_seconds * 1000,
+      ratio: repeats.ratio,
+      extra: repeats.extra,
+      gateways: repeats.gateways,
+    },
+  }));
+}
+
+/**
+ * Reads an INI file and checks its sections.
+ *
+ * @param file - Path of the file
+ * @param schema - Expected sections; unknown ones are ignored
+ * @returns The checked sections or every problem
+ */
+export function readSections<Schema extends z.ZodType>(
+  file: string,
+  schema: Schema,
+): Result<z.infer<Schema>, SettingsError[]> {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    return Err([{ file, key: '', message: `cannot be read: ${String(error)}` }]);
+  }
+  const parsed = schema.safeParse(parse(text));
+  if (parsed.success) return Ok(parsed.data);
+  const problems: SettingsError[] = [];
+  for (const issue of parsed.error.issues) {
+    problems.push({ file, key: issue.path.join('.'), message: issue.message });
+  }
+  return Err(problems);
+}
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -18,7 +18,7 @@
 const hello = z.object({
   type: z.literal('hello'),
   version: count,
-  role: z.enum(['entry', 'agent', 'operator']),
+  role: z.enum(['entry', 'agent', 'operator', 'gateway', 'ranker']),
   processId: id,
   incarnation: id,
   host: id,
@@ -178,6 +178,13 @@
 /** Message between ranks of a group or from a map change coordinator; body in `src/version/expertMap`. */
 const rankControl = z.object({ type: z.literal('rankControl'), group: id, body: z.unknown() });
 
+/** Gateway to gateway: requests that the sender has running, by upstream, and the gateways that it knows. */
+const gatewayCounts = z.object({
+  type: z.literal('gatewayCounts'),
+  running: z.record(id, count),
+  peers: z.array(id),
+});
+
 const messageSchemas = {
   hello,
   ping,
@@ -198,6 +205,7 @@
   digest,
   draining,
   rankControl,
+  gatewayCounts,
 } as const;
 
 /** Schemas by message type. */
--- /dev/null
+++ b/src/request/admission/types.ts
@@ -0,0 +1,27 @@
+import type { ServiceId, UpstreamId } from '../../ids.js';
+import type { UpstreamEntry } from '../../version/routing/types.js';
+
+/** A request that wants a place at an upstream. */
+export interface PlaceRequest {
+  readonly service: ServiceId;
+  /** Upstreams that it must not go to again. */
+  readonly excluded: ReadonlySet<UpstreamId>;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  readonly arrivedAt: number;
+  /** The request is given up when it still waits then. */
+  readonly expiresAt: number;
+  /** Longest wait that it accepts on arrival. */
+  readonly maxWaitMs: number;
+}
+
+/** A place that was taken for one attempt; it is given back exactly once. */
+export interface Place {
+  readonly upstream: UpstreamEntry;
+  release(now: number): void;
+}
+
+export type Refusal =
+  | { readonly code: 'no_upstream'; readonly retryAfterMs: number }
+  | { readonly code: 'overloaded'; readonly retryAfterMs: number }
+  | { readonly code: 'expired'; readonly retryAfterMs: number };
--- /dev/null
+++ b/src/request/forwarding/runAttempt.ts
@@ -0,0 +1,125 @@
+import type { AnswerHead, HeadCodec } from '../../process/gateway/types.js';
+import { EventSplitter } from './eventSplitter.js';
+import type { AttemptOutcome } from './types.js';
+import type { ExchangeRequest } from './upstreamExchange.js';
+import { UpstreamExchange } from './upstreamExchange.js';
+
+const OK_STATUS = 200;
+const STREAM_TYPE = /^text\/event-stream/i;
+
+export interface AttemptOptions {
+  readonly request: ExchangeRequest;
+  readonly codec: HeadCodec;
+  readonly requestId: string | undefined;
+  /** Last event that the caller has; events up to it are skipped. */
+  readonly lastEventId: number;
+  /** Aborted with the reason when the caller leaves or the time is up. */
+  readonly signal: AbortSignal;
+  /**
+   * Called for each event of a stream, in order and without gaps.
+   *
+   * @param head - Head of the answer that carries the event
+   */
+  onEvent(head: AnswerHead, id: number, bytes: Buffer): void;
+}
+
+/**
+ * Sends a request to one upstream and follows the answer to its end.
+ *
+ * @param options - Request, identity checks and event listener
+ * @returns How the attempt ended
+ */
+export function runAttempt(options: AttemptOptions): Promise<AttemptOutcome> {
+  return new Promise((resolve) => {
+    const reader = new AnswerReader(options);
+    const settle = (outcome: AttemptOutcome): void => {
+      options.signal.removeEventListener('abort', abort);
+      exchange.abort();
+      resolve(outcome);
+    };
+    const abort = (): void => {
+      settle({ kind: 'aborted', reason: options.signal.reason as 'caller_gone' | 'time_limit' });
+    };
+    const exchange = new UpstreamExchange(options.request, {
+      onHead: (status, headers) => {
+        const head = options.codec.decodeAnswer(status, headers);
+        const fault = reader.acceptHead(head);
+        if (fault !== undefined) settle(fault);
+      },
+      onData: (data) => {
+        const fault = reader.acceptData(data);
+        if (fault !== undefined) settle(fault);
+      },
+      onEnd: (isWhole, error) => {
+        if (!exchange.wasSent) {
+          settle({ kind: 'not_sent', reason: error?.message ?? 'connection failed' });
+        } else {
+          settle(reader.finish(isWhole, error));
+        }
+      },
+    });
+    if (options.signal.aborted) {
+      abort();
+      return;
+    }
+    options.signal.addEventListener('abort', abort);
+    exchange.start();
+  });
+}
+
+/** Checks one answer while it arrives. */
+class AnswerReader {
+  private head: AnswerHead | undefined;
+  private readonly chunks: Buffer[] = [];
+  private readonly splitter = new EventSplitter();
+  private isStream = false;
+  private lastEventId: number;
+
+  constructor(private readonly options: AttemptOptions) {
+    this.lastEventId = options.lastEventId;
+  }
+
+  acceptHead(head: AnswerHead): AttemptOutcome | undefined {
+    this.head = head;
+    if (head.isNotRun) return { kind: 'not_run', head };
+    if (head.requestId !== this.options.requestId) {
+      return { kind: 'broken', reason: 'answer carries the id of another request' };
+    }
+    const isSuccess = head.status >= OK_STATUS && head.status < 300;
+    if (head.isEncoded) return { kind: 'broken', reason: 'answer has a content encoding' };
+    if (isSuccess && !head.isSealed) return { kind: 'broken', reason: 'success without signature' };
+    const type = head.headers.find(([name]) => name.toLowerCase() === 'content-type');
+    this.isStream = head.status === OK_STATUS && STREAM_TYPE.test(type?.[1] ?? '');
+    return undefined;
+  }
+
+  acceptData(data: Buffer): AttemptOutcome | undefined {
+    if (this.head === undefined) return undefined;
+    if (!this.isStream) {
+      this.chunks.push(data);
+      return undefined;
+    }
+    for (const event of this.splitter.readEvents(data)) {
+      if (event.id === undefined) return { kind: 'broken', reason: 'event without an id' };
+      if (event.id <= this.lastEventId) continue;
+      if (event.id !== this.lastEventId + 1) {
+        return { kind: 'broken', reason: `event ${event.id} follows ${this.lastEventId}` };
+      }
+      this.lastEventId = event.id;
+      this.options.onEvent(this.head, event.id, event.bytes);
+    }
+    return undefined;
+  }
+
+  finish(isWhole: boolean, error: Error | undefined): AttemptOutcome {
+    if (this.head === undefined) {
+      return { kind: 'broken', reason: error?.message ?? 'connection closed before an answer' };
+    }
+    if (!isWhole) return { kind: 'broken', reason: error?.message ?? 'answer was cut off' };
+    if (!this.isStream) {
+      return { kind: 'answered', head: this.head, body: Buffer.concat(this.chunks) };
+    }
+    if (this.splitter.hasPartialEvent) return { kind: 'broken', reason: 'stream ends in an event' };
+    return { kind: 'streamed' };
+  }
+}
--- /dev/null
+++ b/src/version/routing/routeTable.ts
@@ -0,0 +1,37 @@
+import type { Route, RoutingConfiguration } from './types.js';
+
+/** Routes of one configuration version by host, longest prefix first. */
+export class RouteTable {
+  private readonly byHost = new Map<string, Route[]>();
+
+  constructor(configuration: RoutingConfiguration) {
+    for (const route of configuration.routes) {
+      const routes = this.byHost.get(route.host) ?? [];
+      routes.push(route);
+      this.byHost.set(route.host, routes);
+    }
+    for (const routes of this.byHost.values()) {
+      routes.sort((left, right) => right.prefix.length - left.prefix.length);
+    }
+  }
+
+  /**
+   * Finds the route with the longest prefix that begins the path.
+   *
+   * @param hostHeader - `Host` header, with or without a port
+   * @param url - Request target with its query
+   * @returns The route, or undefined when none matches
+   */
+  findRoute(hostHeader: string, url: string): Route | undefined {
+    const path = url.split('?', 1)[0] ?? url;
+    const routes = this.byHost.get(hostHeader) ?? this.byHost.get(removePort(hostHeader));
+    for (const route of routes ?? []) {
+      if (path.startsWith(route.prefix)) return route;
+    }
+    return undefined;
+  }
+}
+
+function removePort(hostHeader: string): string {
+  return hostHeader.replace(/:\d+$/, '').toLowerCase();
+}
