--- /dev/null
+++ b/bench/proofs/heldMaps.spec.ts
@@ -0,0 +1,27 @@
+import { expect } from 'chai';
+import { runMapSchedule } from './heldMaps.js';
+
+const SCHEDULES = 40;
+
+describe('map changes over unreliable orders', () => {
+  it('guards against a pass with two maps and a group that stays held', async function () {
+    this.timeout(120_000);
+    let switched = 0;
+    for (let seed = 1; seed <= SCHEDULES; seed += 1) {
+      const result = await runMapSchedule(`held-${seed}`, 'held');
+      expect(result.mixedPasses, `seed held-${seed}`).to.equal(0);
+      expect(result.isStuck, `seed held-${seed}`).to.equal(false);
+      switched += result.switched;
+    }
+    expect(switched).to.be.greaterThan(SCHEDULES);
+  });
+
+  it('shows that arming without a held pass mixes maps', async function () {
+    this.timeout(60_000);
+    let mixed = 0;
+    for (let seed = 1; seed <= 10; seed += 1) {
+      mixed += (await runMapSchedule(`naive-${seed}`, 'naive')).mixedPasses;
+    }
+    expect(mixed).to.be.greaterThan(0);
+  });
+});
--- /dev/null
+++ b/bench/proofs/heldMaps.ts
@@ -0,0 +1,161 @@
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import { mock } from 'node:test';
+import seedrandom from 'seedrandom';
+import type { ChangeOutcome, MapChange } from '../../src/process/ranker/changeMap.js';
+import { changeMap, finishHeld, releasePass } from '../../src/process/ranker/changeMap.js';
+import { GroupView } from '../../src/process/ranker/groupView.js';
+import { LockstepGroup } from '../../test/standins/lockstepGroup.js';
+
+const TICK_MS = 10;
+const STATUS_MS = 20;
+const RANKS = 4;
+
+/** How a change is made; the naive way arms all ranks without holding the pass. */
+export type ChangeWay = 'held' | 'naive';
+
+export interface ScheduleResult {
+  readonly passes: number;
+  readonly mixedPasses: number;
+  readonly changes: number;
+  readonly switched: number;
+  /** The group made no pass in the last part of the schedule, which has no faults. */
+  readonly isStuck: boolean;
+}
+
+/**
+ * Runs map changes of one group over unreliable orders in virtual time. The coordinator is killed and replaced now and
+ * then, ranks restart, and the group is idle at times.
+ *
+ * @param seed - Seed of all faults
+ * @param way - How changes are made
+ * @returns What happened
+ */
+export async function runMapSchedule(seed: string, way: ChangeWay): Promise<ScheduleResult> {
+  const random = seedrandom(seed);
+  mock.timers.enable({ apis: ['setTimeout'] });
+  try {
+    return await runSchedule(random, way);
+  } finally {
+    mock.timers.reset();
+  }
+}
+
+async function runSchedule(random: () => number, way: ChangeWay): Promise<ScheduleResult> {
+  let now = 0;
+  const strength = random() * 0.5;
+  const faults = {
+    lost: 0,
+    late: strength * 0.6,
+    unanswered: strength * 0.2,
+    doubled: strength * 0.2,
+  };
+  const readNow = (): number => now;
+  const group = new LockstepGroup(RANKS, random, faults, readNow);
+  let view = new GroupView('g', RANKS);
+  let version = 0;
+  let changes = 0;
+  let switched = 0;
+  let generation = 0;
+  let isBusy = false;
+  const publish = (): void => {
+    for (let rank = 0; rank < RANKS; rank += 1) {
+      const report = group.report(rank);
+      const experts = [[report.map]];
+      const target = view;
+      const order = target;
+      view.applyStatus(
+        { report, choices: [], experts },
+        // A replaced coordinator sends nothing any more.
+        (sent, epoch) =>
+          order === view ? group.takeOrder(rank, sent, epoch) : new Promise(() => undefined),
+        undefined,
+        now,
+      );
+    }
+  };
+  const startChange = async (mine: number): Promise<void> => {
+    const context = { view, readNow, firstFreePass: firstFree };
+    const seats = view.listWhole(now);
+    if (seats === undefined) return;
+    const own = seats[0]?.report;
+    if (own === undefined) return;
+    if (own.held !== undefined) {
+      const { held: pass, epoch, prepared } = own;
+      const isComplete =
+        prepared !== undefined &&
+        seats.every(({ report }) => report.prepared === prepared && report.map < prepared);
+      if (isComplete) await finishHeld(context, { version: prepared, epoch, pass });
+      else await releasePass(context, epoch, pass);
+      if (mine === generation) firstFree = Math.max(firstFree, pass + 1);
+      return;
+    }
+    if (seats.some(({ report }) => report.armed !== undefined)) return;
+    for (const { report } of seats) version = Math.max(version, report.map, report.prepared ?? 0);
+    version += 1;
+    const number = version;
+    const placement = [seats.map((_, rank) => [rank, number])];
+    changes += 1;
+    const change = { version: number, epoch: own.epoch, placement };
+    const outcome = await runChange(way, context, change, group);
+    if (outcome === 'not_prepared') version += 10;
+    if (mine !== generation) return;
+    firstFree = context.firstFreePass;
+    if (outcome === 'switched') switched += 1;
+  };
+  let firstFree = 0;
+  const faultyUntil = 12_000;
+  const endsAt = 28_000;
+  let passBeforeEnd = 0;
+  while (now < endsAt) {
+    now += TICK_MS;
+    mock.timers.tick(TICK_MS);
+    group.run();
+    if (now % STATUS_MS === 0) publish();
+    if (now < faultyUntil) {
+      if (random() < 0.002) group.isIdle = !group.isIdle;
+      if (random() < 0.0005) group.restart();
+      if (random() < 0.002) {
+        generation += 1;
+        view = new GroupView('g', RANKS);
+        firstFree = 0;
+        isBusy = false;
+        publish();
+      }
+    } else group.isIdle = false;
+    if (now === endsAt - 2_000) passBeforeEnd = group.pass;
+    if (!isBusy) {
+      isBusy = true;
+      const mine = generation;
+      void startChange(mine).finally(() => {
+        if (mine === generation) isBusy = false;
+      });
+    }
+    await nextTurn();
+  }
+  return {
+    passes: group.pass,
+    mixedPasses: group.mixedPasses,
+    changes,
+    switched,
+    isStuck: group.pass === passBeforeEnd,
+  };
+}
+
+async function runChange(
+  way: ChangeWay,
+  context: Parameters<typeof changeMap>[0],
+  change: MapChange,
+  group: LockstepGroup,
+): Promise<ChangeOutcome> {
+  if (way === 'held') return changeMap(context, change);
+  const { version, placement, epoch } = change;
+  const seats = [...context.view.seats.values()];
+  await Promise.all(
+    seats.map((seat) => seat.sendOrder({ kind: 'prepare', version, placement }, epoch)),
+  );
+  await context.view.waitForStatus(400);
+  await new Promise((resolve) => setTimeout(resolve, 400));
+  const pass = group.pass + 3;
+  await Promise.all(seats.map((seat) => seat.sendOrder({ kind: 'arm', version, pass }, epoch)));
+  return 'switched';
+}
--- a/src/process/gateway/configurationHolder.ts
+++ b/src/process/gateway/configurationHolder.ts
@@ -5,6 +5,8 @@
 export interface HeldConfiguration {
   readonly configuration: RoutingConfiguration;
   readonly table: RouteTable;
+  /** Text as published; empty in tests that need none. */
+  readonly document: string;
 }
 
 /**
@@ -32,13 +34,14 @@
    *
    * @param configuration - Decoded configuration
    * @param readBeganAt - When the read was sent, on the suspend-aware clock
+   * @param document - Text as published, which peers may ask for
    * @returns True when the version is newer than the one held
    */
-  applyRead(configuration: RoutingConfiguration, readBeganAt: number): boolean {
+  applyRead(configuration: RoutingConfiguration, readBeganAt: number, document = ''): boolean {
     if (configuration.version < this.version) return false;
     this.provenAt = Math.max(this.provenAt, readBeganAt);
     if (configuration.version === this.version) return false;
-    this.held = { configuration, table: new RouteTable(configuration) };
+    this.held = { configuration, table: new RouteTable(configuration), document };
     return true;
   }
 
--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -4,9 +4,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import polka from 'polka';
 import { defaults } from '../../defaults.js';
-import type { ServiceId } from '../../ids.js';
+import type { AvailabilityZoneId, ServiceId, UpstreamId } from '../../ids.js';
 import { toId } from '../../ids.js';
-import type { AvailabilityZoneId } from '../../ids.js';
 import { PlaceBoard } from '../../request/admission/placeBoard.js';
 import { SuspectTable } from '../../request/admission/suspectTable.js';
 import { WaitingLine } from '../../request/admission/waitingLine.js';
@@ -17,6 +16,7 @@
 import { Metrics } from '../metrics.js';
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
 import { ConfigurationHolder } from './configurationHolder.js';
+import type { Knowledge } from './gatewayPeers.js';
 import { GatewayPeers } from './gatewayPeers.js';
 import { maintainConfiguration, maintainUpstreams } from './platformPolling.js';
 import { SuspendClock } from './suspendClock.js';
@@ -104,6 +104,10 @@
       onCounts: () => {
         this.dispatchAll();
       },
+      describeKnowledge: (version) => this.describeKnowledge(version),
+      applyKnowledge: (knowledge, askedAt) => {
+        this.applyKnowledge(knowledge, askedAt);
+      },
     });
   }
 
@@ -134,6 +138,7 @@
       metrics: this.metrics,
       signal: this.stopping.signal,
       readNow: () => this.readNow(),
+      askPeers: () => this.peers.askAll(this.holder.version),
       onChange: () => {
         this.applyLimits();
         this.dispatchAll();
@@ -165,8 +170,16 @@
     const limit = startedAt + this.settings.stopLimitMs - EXIT_MARGIN_MS;
     while (this.active > 0 && performance.now() < limit) await sleep(DRAIN_CHECK_MS);
     await sleep(DRAIN_CHECK_MS);
+    this.stop();
+  }
+
+  /** Stops at once. */
+  stop(): void {
     this.stopping.abort();
+    this.front.close();
     this.ready.close();
+    this.ready.closeAllConnections();
+    this.front.closeAllConnections();
     this.dependencies.source.close();
     this.dependencies.logger.info({ unfinished: this.active }, 'gateway stopped');
   }
@@ -202,8 +215,61 @@
     }
   }
 
+  private describeKnowledge(version: number): Knowledge {
+    const now = this.readNow();
+    const proofAgeMs = this.holder.computeProofAge(now);
+    const listingAgeMs = this.directory.computeAge(now);
+    const held = this.holder.current;
+    return {
+      version: this.holder.version,
+      ...(Number.isFinite(proofAgeMs) ? { proofAgeMs } : {}),
+      ...(held !== undefined && this.holder.version > version ? { document: held.document } : {}),
+      ...(Number.isFinite(listingAgeMs) ? { listingAgeMs } : {}),
+      upstreams: this.directory.listAll().map(({ startedAt, ...entry }) => ({
+        ...entry,
+        ...(startedAt === undefined ? {} : { startedAt }),
+      })),
+    };
+  }
+
+  private applyKnowledge(knowledge: Knowledge, askedAt: number): void {
+    const { logger, source } = this.dependencies;
+    const { version, proofAgeMs, document, listingAgeMs } = knowledge;
+    if (proofAgeMs !== undefined) {
+      this.holder.noteUnchanged(version, askedAt - proofAgeMs);
+      if (document !== undefined && version > this.holder.version) {
+        const decoded = source.decodeDocument(document);
+        if (decoded.isErr()) {
+          logger.warn(
+            { code: decoded.error.code, detail: decoded.error.message },
+            'peer sent an unreadable configuration',
+          );
+        } else if (this.holder.applyRead(decoded.value, askedAt - proofAgeMs, document)) {
+          logger.info(
+            { configurationVersion: version, proofAgeMs },
+            'configuration of a peer in force',
+          );
+          this.applyLimits();
+        }
+      }
+    }
+    if (listingAgeMs === undefined) return;
+    const upstreams = knowledge.upstreams.map((entry) => ({
+      ...entry,
+      id: toId<UpstreamId>(entry.id),
+      service: toId<ServiceId>(entry.service),
+      availabilityZone: toId<AvailabilityZoneId>(entry.availabilityZone),
+    }));
+    const changes = this.directory.applyListing(upstreams, askedAt - listingAgeMs, this.readNow());
+    for (const { upstream, change } of changes) {
+      logger.info({ upstream, change }, 'upstream list of a peer taken over');
+    }
+  }
+
   private isReady(): boolean {
-    return !this.isDraining && this.holder.isFresh(this.readNow()) && this.directory.listAll().length > 0;
+    return (
+      !this.isDraining && this.holder.isFresh(this.readNow()) && this.directory.listAll().length > 0
+    );
   }
 
   private readNow(): number {
--- a/src/process/gateway/gatewayPeers.ts
+++ b/src/process/gateway/gatewayPeers.ts
@@ -1,4 +1,4 @@
-import type { CloseReason, Hello, PeerLink } from '../../connection/peerLink.js';
+import type { CloseReason, Hello, MessageHandlers, PeerLink } from '../../connection/peerLink.js';
 import { maintainLink } from '../../connection/linkClient.js';
 import { LinkServer } from '../../connection/linkServer.js';
 import type { HandshakeError } from '../../connection/handshake.js';
@@ -8,6 +8,8 @@
 
 /** Counts are sent this often while they change; half a round trip between zones is 1.4 ms. */
 const SHARE_INTERVAL_MS = 40;
+/** Peers in other zones answer within 5 ms; one that is frozen must not delay the next read of the store. */
+const ASK_TIMEOUT_MS = 120;
 /** Unchanged counts are repeated so that they do not expire at the peer. */
 const REPEAT_INTERVAL_MS = 1_000;
 
@@ -22,13 +24,25 @@
   readNow(): number;
   /** Called when a peer's counts may have freed places. */
   onCounts(): void;
+  /** Describes what this gateway knows to a peer that holds an older or the same version. */
+  describeKnowledge(version: number): Knowledge;
+  /**
+   * Takes over what a peer knows.
+   *
+   * @param askedAt - When the question was sent; the peer's ages count back from there
+   */
+  applyKnowledge(knowledge: Knowledge, askedAt: number): void;
 }
 
+export type Knowledge = Omit<MessageOf<'knowledgeReply'>, 'type' | 'call'>;
+
 /** Links to the other gateways, over which each tells how many requests it has running where. */
 export class GatewayPeers {
   private readonly server: LinkServer;
   private readonly links = new Map<string, PeerLink>();
   private readonly known = new Set<string>();
+  private readonly asks = new Map<number, { readonly askedAt: number; settle(): void }>();
+  private nextCall = 1;
   private lastSent = '';
   private lastSentAt = -Infinity;
 
@@ -67,8 +81,41 @@
     });
   }
 
-  private createHandlers(): { gatewayCounts: (message: MessageOf<'gatewayCounts'>, link: PeerLink) => void } {
+  /**
+   * Asks every linked gateway for a newer configuration and a fresher proof.
+   *
+   * @param version - Version held at present
+   */
+  async askAll(version: number): Promise<void> {
+    const answers = [...this.links.values()].map(
+      (link) =>
+        new Promise<void>((resolve) => {
+          const call = this.nextCall;
+          this.nextCall += 1;
+          const settle = (): void => {
+            clearTimeout(timer);
+            this.asks.delete(call);
+            resolve();
+          };
+          const timer = setTimeout(settle, ASK_TIMEOUT_MS);
+          this.asks.set(call, { askedAt: this.options.readNow(), settle });
+          link.send({ type: 'knowledgeAsk', call, version });
+        }),
+    );
+    await Promise.all(answers);
+  }
+
+  private createHandlers(): MessageHandlers {
     return {
+      knowledgeAsk: ({ call, version }, link) => {
+        link.send({ type: 'knowledgeReply', call, ...this.options.describeKnowledge(version) });
+      },
+      knowledgeReply: ({ call, ...knowledge }) => {
+        const ask = this.asks.get(call);
+        if (ask === undefined) return;
+        this.options.applyKnowledge(knowledge, ask.askedAt);
+        ask.settle();
+      },
       gatewayCounts: (message, link) => {
         const { board, readNow, onCounts } = this.options;
         const counts = new Map(Object.entries(message.running));
--- a/src/process/gateway/platformPolling.ts
+++ b/src/process/gateway/platformPolling.ts
@@ -20,6 +20,8 @@
   readonly metrics: Metrics;
   readonly signal: AbortSignal;
   readNow(): number;
+  /** Asks the other gateways for what they know; used while the store cannot be read. */
+  askPeers(): Promise<void>;
   /** Called after a read that may have changed the fleet or the configuration. */
   onChange(): void;
 }
@@ -41,12 +43,13 @@
     const read = await source.readConfiguration(revision);
     if (read.isErr()) {
       dependency.noteFailure(read.error);
+      await options.askPeers();
     } else {
       dependency.noteSuccess();
       revision = read.value.revision;
-      const { configuration } = read.value;
+      const { configuration, document } = read.value;
       if (configuration === undefined) holder.noteUnchanged(holder.version, beganAt);
-      else if (holder.applyRead(configuration, beganAt)) {
+      else if (holder.applyRead(configuration, beganAt, document)) {
         metrics.addCount('configuration_changes');
         logger.info({ configurationVersion: configuration.version }, 'configuration in force');
         options.onChange();
--- a/src/process/gateway/types.ts
+++ b/src/process/gateway/types.ts
@@ -13,8 +13,12 @@
   /**
    * Reads the newest configuration; a read that shows `knownRevision` again is not decoded.
    */
-  readConfiguration(knownRevision: number | undefined): Promise<Result<ConfigurationRead, ReadError>>;
+  readConfiguration(
+    knownRevision: number | undefined,
+  ): Promise<Result<ConfigurationRead, ReadError>>;
   readUpstreams(): Promise<Result<UpstreamListing, ReadError>>;
+  /** Decodes a configuration that a peer has read. */
+  decodeDocument(document: string): Result<RoutingConfiguration, ReadError>;
   close(): void;
 }
 
@@ -22,6 +26,8 @@
   readonly revision: number;
   /** Undefined when the revision is the known one. */
   readonly configuration?: RoutingConfiguration | undefined;
+  /** Text of the configuration as published, for peers that cannot reach the store. */
+  readonly document?: string | undefined;
 }
 
 export interface UpstreamListing {
@@ -79,7 +85,10 @@
   decodeRequest(rawHeaders: readonly string[]): CallerStatement;
   /** Headers for the upstream as alternating names and values. */
   encodeRequest(rawHeaders: readonly string[], statement: UpstreamStatement): string[];
-  decodeAnswer(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): AnswerHead;
+  decodeAnswer(
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ): AnswerHead;
   /** Headers that tell the caller when to come back. */
   encodeRetryAfter(delayMs: number): [string, string];
   /** Header that repeats the caller's id on answers of the gateway itself. */
--- a/src/process/gateway/upstreamDirectory.ts
+++ b/src/process/gateway/upstreamDirectory.ts
@@ -42,6 +42,16 @@
     return [...this.entries.values()];
   }
 
+  /**
+   * Computes how old the list is.
+   *
+   * @param now - Milliseconds
+   * @returns Milliseconds since the last read was sent, infinite without any
+   */
+  computeAge(now: number): number {
+    return now - (this.lastReadAt ?? -Infinity);
+  }
+
   /**
    * Checks whether an upstream may still get new work.
    *
@@ -65,6 +75,8 @@
     readBeganAt: number,
     now: number,
   ): DirectoryChange[] {
+    // A peer's listing may be older than the own one.
+    if (this.lastReadAt !== undefined && readBeganAt < this.lastReadAt) return [];
     const gapMs = this.lastReadAt === undefined ? 0 : readBeganAt - this.lastReadAt;
     if (gapMs > OUTAGE_GAP_MS) this.holdUntil = now + LAPSE_GRACE_MS;
     this.lastReadAt = readBeganAt;
--- a/src/process/ranker/changeMap.ts
+++ b/src/process/ranker/changeMap.ts
@@ -161,7 +161,11 @@
   }
 }
 
-function isDoneNow(view: GroupView, rank: number, isDone: (report: RankReport) => boolean): boolean {
+function isDoneNow(
+  view: GroupView,
+  rank: number,
+  isDone: (report: RankReport) => boolean,
+): boolean {
   const seat = view.seats.get(rank);
   return seat !== undefined && isDone(seat.report);
 }
--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -128,7 +128,8 @@
   }
 
   takeNext(seats: readonly RankSeat[]): number {
-    for (const { report } of seats) this.last = Math.max(this.last, report.map, report.prepared ?? 0);
+    for (const { report } of seats)
+      this.last = Math.max(this.last, report.map, report.prepared ?? 0);
     this.last += 1;
     return this.last;
   }
--- a/src/process/ranker/rankerDaemon.ts
+++ b/src/process/ranker/rankerDaemon.ts
@@ -11,7 +11,14 @@
 import type { RankerSettings } from '../settings/rankerSettings.js';
 import { coordinateGroup } from './coordinator.js';
 import { GroupView } from './groupView.js';
-import type { GroupLayout, OrderOutcome, RankCounts, RankEngine, RankOrder, RankReport } from './types.js';
+import type {
+  GroupLayout,
+  OrderOutcome,
+  RankCounts,
+  RankEngine,
+  RankOrder,
+  RankReport,
+} from './types.js';
 
 /** Own reports are free; each costs about half a millisecond of processor time. */
 const POLL_INTERVAL_MS = 140;
@@ -137,9 +144,7 @@
     return choices;
   }
 
-  private async readChangedExperts(
-    report: RankReport,
-  ): Promise<number[][] | undefined> {
+  private async readChangedExperts(report: RankReport): Promise<number[][] | undefined> {
     const key = `${report.epoch}/${report.map}`;
     if (this.sentMap === key) return undefined;
     const read = await this.dependencies.engine.readHeld();
--- a/src/process/ranker/types.ts
+++ b/src/process/ranker/types.ts
@@ -41,7 +41,11 @@
 
 /** An order to a rank. */
 export type RankOrder =
-  | { readonly kind: 'prepare'; readonly version: number; readonly placement: readonly (readonly (readonly number[])[])[] }
+  | {
+      readonly kind: 'prepare';
+      readonly version: number;
+      readonly placement: readonly (readonly (readonly number[])[])[];
+    }
   | { readonly kind: 'arm'; readonly version: number; readonly pass: number }
   | { readonly kind: 'disarm'; readonly version: number }
   | { readonly kind: 'hold'; readonly pass: number }
--- a/src/process/settings/gatewaySettings.ts
+++ b/src/process/settings/gatewaySettings.ts
@@ -38,7 +38,12 @@
 const addresses = z
   .string()
   .default('')
-  .transform((text) => text.split(',').map((part) => part.trim()).filter((part) => part !== ''));
+  .transform((text) =>
+    text
+      .split(',')
+      .map((part) => part.trim())
+      .filter((part) => part !== ''),
+  );
 
 const gatewaySchema = z.object({
   process: z.object({
@@ -66,25 +71,27 @@
  * @returns Settings, or every problem with file, `section.key` and what was expected
  */
 export function readGatewaySettings(file: string): Result<GatewaySettings, SettingsError[]> {
-  return readSections(file, gatewaySchema).map(({ process, listen, peers, store, keys, repeats }) => ({
-    processId: process.id,
-    availabilityZone: process.availability_zone,
-    logLevel: process.log_level,
-    host: parseAddress(listen.front).host,
-    frontPort: parseAddress(listen.front).port,
-    readyPort: parseAddress(listen.ready).port,
-    linkAddress: listen.links,
-    seeds: peers.seeds,
-    storeAddress: store.address,
-    keyProofMs: keys.proof_ms,
-    stopLimitMs: process.stop_limit_seconds * 1000,
-    repeats: {
-      windowMs: repeats.window_seconds * 1000,
-      ratio: repeats.ratio,
-      extra: repeats.extra,
-      gateways: repeats.gateways,
-    },
-  }));
+  return readSections(file, gatewaySchema).map(
+    ({ process, listen, peers, store, keys, repeats }) => ({
+      processId: process.id,
+      availabilityZone: process.availability_zone,
+      logLevel: process.log_level,
+      host: parseAddress(listen.front).host,
+      frontPort: parseAddress(listen.front).port,
+      readyPort: parseAddress(listen.ready).port,
+      linkAddress: listen.links,
+      seeds: peers.seeds,
+      storeAddress: store.address,
+      keyProofMs: keys.proof_ms,
+      stopLimitMs: process.stop_limit_seconds * 1000,
+      repeats: {
+        windowMs: repeats.window_seconds * 1000,
+        ratio: repeats.ratio,
+        extra: repeats.extra,
+        gateways: repeats.gateways,
+      },
+    }),
+  );
 }
 
 /**
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -185,6 +185,36 @@
   peers: z.array(id),
 });
 
+/** Gateway to gateway: asks for the newest configuration and upstream list. */
+const knowledgeAsk = z.object({
+  type: z.literal('knowledgeAsk'),
+  call: count,
+  /** Version that the asking gateway holds; the document is only sent when it is older. */
+  version: count,
+});
+
+/** Ages count from before the store was read, so the asker may rely on them. */
+const knowledgeReply = z.object({
+  type: z.literal('knowledgeReply'),
+  call: count,
+  version: count,
+  /** Infinite ages are left out. */
+  proofAgeMs: z.number().nonnegative().optional(),
+  document: z.string().optional(),
+  listingAgeMs: z.number().nonnegative().optional(),
+  upstreams: z.array(
+    z.object({
+      id,
+      service: id,
+      address: id,
+      availabilityZone: id,
+      slots: count,
+      isDraining: z.boolean(),
+      startedAt: count.optional(),
+    }),
+  ),
+});
+
 const layerExperts = z.array(z.array(count));
 
 /** Ranker to coordinator: what the rank says of itself, and the choices counted since the last status. */
@@ -252,6 +282,8 @@
   draining,
   rankControl,
   gatewayCounts,
+  knowledgeAsk,
+  knowledgeReply,
   rankStatus,
   rankOrder,
   rankOrderReply,
--- a/src/version/placement/copyPlan.ts
+++ b/src/version/placement/copyPlan.ts
@@ -193,7 +193,10 @@
     const holders = layer.holders[expert] ?? [];
     if (holders.length > 1) {
       const rest = holders.filter((rank) => rank !== from);
-      offer({ expert, to: undefined, evicted: undefined }, layer.computeLoads(expert, rest, layer.loads));
+      offer(
+        { expert, to: undefined, evicted: undefined },
+        layer.computeLoads(expert, rest, layer.loads),
+      );
     }
     for (const to of layer.ranks.keys()) {
       if (holders.includes(to) || !canCopy(index, to)) continue;
--- /dev/null
+++ b/test/failures/gateway.spec.ts
@@ -0,0 +1,204 @@
+import { expect } from '../support/snapshot.js';
+import { eventsPerStream, formatEvent } from '../standins/platformWorker.js';
+import type { WorkerBehaviour } from '../standins/platformWorker.js';
+import type { GatewayFixture } from '../support/gatewayFixture.js';
+import { callGateway, startGatewayFixture } from '../support/gatewayFixture.js';
+import { waitMs, waitUntil } from '../support/waiting.js';
+
+const wholeStream = Array.from({ length: eventsPerStream }, (_, index) =>
+  formatEvent(index + 1),
+).join('');
+
+describe('gateway', () => {
+  let fixture: GatewayFixture;
+  afterEach(() => fixture.close());
+
+  const call = (
+    path: string,
+    headers?: Record<string, string>,
+    signal?: AbortSignal,
+  ): ReturnType<typeof callGateway> => callGateway(fixture.urls[0] ?? '', path, headers, signal);
+  const countSeen = (): number =>
+    fixture.workers.reduce((sum, worker) => sum + worker.seen.length, 0);
+  const setFirst = (behaviour: WorkerBehaviour): void => {
+    // Whichever worker is asked first misbehaves; the other serves.
+    for (const worker of fixture.workers) worker.behaviour = behaviour;
+    const timer = setInterval(() => {
+      if (countSeen() === 0) return;
+      clearInterval(timer);
+      for (const worker of fixture.workers) {
+        if (worker.seen.length === 0) worker.behaviour = 'serve';
+      }
+    }, 1);
+  };
+
+  it('guards against changed requests and answers, and keys passed on to upstreams', async () => {
+    fixture = await startGatewayFixture({ workers: 1 });
+    const answer = await call('/chat/a?b=c', {
+      'x-own': '1',
+      tenant: 'forged',
+      'request-id': 'r-x',
+    });
+    const { headers, ...seen } = fixture.workers[0]!.seen[0]!;
+    const names = ['request-id', 'x-own', 'tenant', 'expect-instance', 'host', 'x-api-key'];
+    const passed = Object.fromEntries(names.map((name) => [name, headers[name]]));
+    expect({
+      body: answer.body,
+      status: answer.status,
+      seal: answer.headers['server-seal'],
+      seen,
+      passed,
+    }).toMatchSnapshot();
+    expect(Number(headers['deadline-ms'])).to.be.within(1500, 2000);
+  });
+
+  it('guards against routes, keys and bodies that the configuration does not allow', async () => {
+    fixture = await startGatewayFixture();
+    const statuses = {
+      unknownRoute: (await call('/other/a')).status,
+      unknownHost: (await call('/chat/a', { host: 'other.example' })).status,
+      unknownKey: (await call('/lookup/a', { 'x-api-key': 'wrong' })).status,
+      publicRoute: (await call('/open/a', { 'x-api-key': 'wrong' })).status,
+      lookup: (await call('/lookup/a')).status,
+    };
+    expect(statuses).toMatchSnapshot();
+  });
+
+  it('guards against a stream that loses, repeats or splices events when its upstream breaks off', async () => {
+    fixture = await startGatewayFixture();
+    setFirst('cut');
+    const answer = await call('/chat/a');
+    expect(answer).to.include({ status: 200, isWhole: true, body: wholeStream });
+    expect(countSeen()).to.equal(2);
+  });
+
+  it('guards against a broken stream that looks complete', async () => {
+    fixture = await startGatewayFixture();
+    for (const worker of fixture.workers) worker.behaviour = 'cut';
+    const answer = await call('/chat/a');
+    expect(answer.isWhole).to.equal(false);
+  });
+
+  const onceCases: readonly [WorkerBehaviour, number, number][] = [
+    ['cutBeforeAnswer', 502, 1],
+    ['otherRequestId', 502, 1],
+    ['unsealed', 502, 1],
+    ['unframedReset', 502, 1],
+    ['chunkedCut', 502, 1],
+    ['error', 500, 1],
+    ['notExecuted', 200, 2],
+    ['otherInstance', 200, 2],
+  ];
+  for (const [behaviour, status, sends] of onceCases) {
+    it(`guards against a second run and a false refusal of a payment; upstream: ${behaviour}`, async () => {
+      fixture = await startGatewayFixture();
+      setFirst(behaviour);
+      const answer = await call('/pay/a');
+      expect(answer.status).to.equal(status);
+      expect(countSeen()).to.equal(sends);
+    });
+  }
+
+  const failing = ['cutBeforeAnswer', 'error', 'unframedReset', 'chunkedCut', 'unsealed'] as const;
+  for (const behaviour of failing) {
+    it(`guards against a lookup that fails with its first upstream; upstream: ${behaviour}`, async () => {
+      fixture = await startGatewayFixture();
+      setFirst(behaviour);
+      const answer = await call('/lookup/a');
+      expect(answer).to.include({ status: 200, body: 'balance 12' });
+    });
+  }
+
+  it('guards against a refusal that is said although the request may have run', async () => {
+    fixture = await startGatewayFixture({ workers: 1 });
+    fixture.workers[0]!.behaviour = 'hang';
+    const answer = await call('/pay/a', { 'deadline-ms': '300' });
+    expect(answer.status).to.equal(504);
+  });
+
+  it('guards against a refusal without the time to come back', async () => {
+    fixture = await startGatewayFixture({ workers: 1 });
+    fixture.store.remove('servers/i-0');
+    await waitUntil('payment refused', async () => (await call('/pay/a')).status === 503);
+    const answer = await call('/pay/a');
+    expect(Number(answer.headers['retry-after'])).to.be.greaterThan(0);
+    expect(answer.headers['server-seal']).to.equal(undefined);
+  });
+
+  it('guards against work at an upstream after its caller has left', async () => {
+    fixture = await startGatewayFixture({ workers: 1 });
+    const worker = fixture.workers[0]!;
+    worker.gapMs = 100;
+    const controller = new AbortController();
+    void call('/chat/a', {}, controller.signal).catch(() => undefined);
+    await waitUntil('request seen', () => worker.seen.length === 1);
+    controller.abort();
+    await waitUntil('request abandoned', () => worker.seen[0]!.isAbandoned, { timeoutMs: 400 });
+  });
+
+  it('guards against work for an upstream that is draining, also when a stale list shows it again', async () => {
+    fixture = await startGatewayFixture();
+    const [leaving] = fixture.workers;
+    fixture.publishWorker(leaving!, { state: 'draining' });
+    await waitMs(1500);
+    fixture.publishWorker(leaving!);
+    await waitMs(800);
+    const before = leaving!.seen.length;
+    for (let index = 0; index < 10; index += 1) await call('/lookup/a');
+    expect(leaving!.seen.length).to.equal(before);
+  });
+
+  it('guards against forged and unreadable entries of the upstream list', async () => {
+    fixture = await startGatewayFixture({ workers: 1 });
+    fixture.store.putBytes('servers/i-7', Buffer.from([0xff, 0x00, 0x7b]));
+    fixture.store.put('servers/i-8', {
+      service: 'assistant',
+      address: '127.0.0.1:1',
+      state: 'ready',
+    });
+    fixture.store.put('servers/i-9', {
+      service: 'assistant',
+      slots: 'many',
+      zone: 'a',
+      state: 'odd',
+    });
+    await waitMs(900);
+    for (let index = 0; index < 6; index += 1) {
+      expect((await call('/lookup/a')).status).to.equal(200);
+    }
+  });
+
+  it('guards against a key that is honoured after its revocation', async () => {
+    fixture = await startGatewayFixture();
+    expect((await call('/lookup/a', { 'x-api-key': 'key-2' })).status).to.equal(200);
+    fixture.publishConfiguration(2, { tenants: [{ name: 'branch', apiKeys: ['key-1'] }] });
+    await waitMs(900);
+    expect((await call('/lookup/a', { 'x-api-key': 'key-2' })).status).to.equal(401);
+    fixture.publishConfiguration(1);
+    await waitMs(900);
+    expect((await call('/lookup/a', { 'x-api-key': 'key-2' })).status).to.equal(401);
+  });
+
+  it('guards against keys honoured without a fresh proof while the store is silent', async () => {
+    fixture = await startGatewayFixture({ settings: { keyProofMs: 2000 } });
+    fixture.store.mode = 'silent';
+    await waitMs(2300);
+    const answer = await call('/lookup/a');
+    expect(answer.status).to.equal(503);
+    expect((await call('/open/a')).status).to.equal(200);
+    fixture.store.mode = 'serving';
+    await waitUntil('lookup served', async () => (await call('/lookup/a')).status === 200);
+  });
+
+  it('guards against cut streams and refused callers during a graceful stop', async () => {
+    fixture = await startGatewayFixture({ workers: 1 });
+    fixture.workers[0]!.gapMs = 200;
+    const running = call('/chat/a');
+    await waitMs(100);
+    const stopped = fixture.gateways[0]!.drain();
+    const late = call('/lookup/a');
+    expect(await running).to.include({ isWhole: true, body: wholeStream });
+    expect((await late).status).to.equal(200);
+    await stopped;
+  });
+});
--- /dev/null
+++ b/test/standins/platformStore.ts
@@ -0,0 +1,78 @@
+import type { StandIn } from './httpServer.js';
+import { createRouteServer, listenOnLoopback } from './httpServer.js';
+
+/** How the store answers at present. */
+export type StoreMode = 'serving' | 'silent' | 'busy';
+
+export interface StoreStandIn extends StandIn {
+  mode: StoreMode;
+  calls: number;
+  put(key: string, value: unknown): void;
+  putBytes(key: string, bytes: Buffer): void;
+  remove(key: string): void;
+}
+
+interface Item {
+  readonly key: string;
+  readonly value: string;
+  readonly revision: number;
+  readonly created: number;
+  readonly lease: number;
+}
+
+/**
+ * Starts the platform's store with the two read calls that the product uses.
+ *
+ * @returns The running store
+ */
+export async function startPlatformStore(): Promise<StoreStandIn> {
+  const items = new Map<string, Item>();
+  let revision = 1;
+  const state: { mode: StoreMode; calls: number } = { mode: 'serving', calls: 0 };
+  const server = createRouteServer({
+    'GET /kv-key': ({ query, response }) => {
+      state.calls += 1;
+      if (refuse(response)) return undefined;
+      const item = items.get(query.get('key') ?? '');
+      if (item !== undefined) return { ...item, storeRevision: revision };
+      response.writeHead(404).end();
+      return undefined;
+    },
+    'GET /kv-range': ({ query, response }) => {
+      state.calls += 1;
+      if (refuse(response)) return undefined;
+      const prefix = query.get('prefix') ?? '';
+      const listed = [...items.values()].filter(({ key }) => key.startsWith(prefix));
+      return { items: listed, truncated: false, storeRevision: revision };
+    },
+  });
+  function refuse(response: { writeHead(status: number): { end(): unknown } }): boolean {
+    if (state.mode === 'busy') response.writeHead(503).end();
+    return state.mode !== 'serving';
+  }
+  const port = await listenOnLoopback(server, 0);
+  const putBytes = (key: string, bytes: Buffer): void => {
+    revision += 1;
+    const value = bytes.toString('base64');
+    items.set(key, { key, value, revision, created: revision, lease: 0 });
+  };
+  return Object.assign(state, {
+    port,
+    url: `http://127.0.0.1:${port}`,
+    putBytes,
+    put: (key: string, value: unknown) => {
+      putBytes(key, Buffer.from(JSON.stringify(value)));
+    },
+    remove: (key: string) => {
+      revision += 1;
+      items.delete(key);
+    },
+    close: () =>
+      new Promise<void>((resolve) => {
+        server.closeAllConnections();
+        server.close(() => {
+          resolve();
+        });
+      }),
+  });
+}
--- /dev/null
+++ b/test/support/gatewayFixture.ts
@@ -0,0 +1,185 @@
+import { request } from 'undici';
+import { createLogger } from '../../src/process/logging.js';
+import { GatewayDaemon } from '../../src/process/gateway/gatewayDaemon.js';
+import type { GatewaySettings } from '../../src/process/settings/gatewaySettings.js';
+import { headCodec } from '../../platform/headCodec.js';
+import { StoreClient } from '../../platform/storeClient.js';
+import type { StoreStandIn } from '../standins/platformStore.js';
+import { startPlatformStore } from '../standins/platformStore.js';
+import type { WorkerStandIn } from '../standins/platformWorker.js';
+import { startPlatformWorker } from '../standins/platformWorker.js';
+import { reservePorts } from './ports.js';
+import { waitUntil } from './waiting.js';
+
+export interface GatewayFixture {
+  readonly store: StoreStandIn;
+  readonly workers: WorkerStandIn[];
+  readonly gateways: GatewayDaemon[];
+  readonly urls: string[];
+  publishWorker(worker: WorkerStandIn, fields?: object): void;
+  publishConfiguration(version: number, fields?: object): void;
+  close(): Promise<void>;
+}
+
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** The answer ended as its framing says. */
+  readonly isWhole: boolean;
+}
+
+const routes = [
+  { name: 'chat', prefix: '/chat/', routeType: 'streaming', resumable: true, maxAttempts: 2 },
+  { name: 'lookup', prefix: '/lookup/', routeType: 'idempotent', maxAttempts: 2 },
+  { name: 'pay', prefix: '/pay/', routeType: 'non_idempotent', maxAttempts: 2 },
+  { name: 'open', prefix: '/open/', routeType: 'idempotent', maxAttempts: 2, public: true },
+];
+
+/**
+ * Starts a store, workers and gateways in this process.
+ *
+ * @param options - Numbers of workers and gateways, and changed settings
+ * @returns The running fixture
+ */
+export async function startGatewayFixture(
+  options: { workers?: number; gateways?: number; settings?: Partial<GatewaySettings> } = {},
+): Promise<GatewayFixture> {
+  const store = await startPlatformStore();
+  const workers: WorkerStandIn[] = [];
+  for (let index = 0; index < (options.workers ?? 2); index += 1) {
+    workers.push(await startPlatformWorker(`i-${index}`));
+  }
+  const publishWorker = (worker: WorkerStandIn, fields: object = {}): void => {
+    store.put(`servers/${worker.id}`, {
+      service: 'assistant',
+      address: `127.0.0.1:${worker.port}`,
+      zone: 'a',
+      version: 'v1',
+      slots: 4,
+      state: 'ready',
+      coldLeftMs: 0,
+      seq: 1,
+      born: 1,
+      ...fields,
+    });
+  };
+  const publishConfiguration = (version: number, fields: object = {}): void => {
+    store.put('op/config', {
+      version,
+      routes: routes.map((route) => ({
+        host: 'app.example',
+        timeoutMs: 3000,
+        targetLatencyMs: 400,
+        targetGapMs: 120,
+        priority: 1,
+        service: 'assistant',
+        public: false,
+        ...route,
+      })),
+      services: [{ name: 'assistant', healthPath: '/health', maxConns: 100 }],
+      limits: {
+        maxHeaderBytes: 16384,
+        maxBodyBytes: 4096,
+        headerTimeoutMs: 3000,
+        idleTimeoutMs: 15000,
+      },
+      tenants: [{ name: 'branch', apiKeys: ['key-1', 'key-2'], priority: 1 }],
+      ...fields,
+    });
+  };
+  publishConfiguration(1);
+  for (const worker of workers) publishWorker(worker);
+  const count = options.gateways ?? 1;
+  const ports = await reservePorts(count * 3);
+  const seeds = ports.slice(0, count).map((port) => `127.0.0.1:${port}`);
+  const gateways: GatewayDaemon[] = [];
+  const urls: string[] = [];
+  for (let index = 0; index < count; index += 1) {
+    const [linkPort = 0, frontPort = 0, readyPort = 0] = [
+      index,
+      count + index,
+      2 * count + index,
+    ].map((position) => ports[position]);
+    const settings: GatewaySettings = {
+      processId: `gateway-${index}`,
+      availabilityZone: 'a',
+      logLevel: 'info',
+      host: '127.0.0.1',
+      frontPort,
+      readyPort,
+      linkAddress: `127.0.0.1:${linkPort}`,
+      seeds,
+      storeAddress: `127.0.0.1:${store.port}`,
+      keyProofMs: 5000,
+      stopLimitMs: 8000,
+      repeats: { windowMs: 10_000, ratio: 0.2, extra: 90, gateways: 1 },
+      ...options.settings,
+    };
+    const source = new StoreClient(settings.storeAddress);
+    const daemon = new GatewayDaemon(settings, {
+      source,
+      codec: headCodec,
+      logger: createLogger(settings.processId),
+    });
+    await daemon.start();
+    gateways.push(daemon);
+    urls.push(`http://127.0.0.1:${frontPort}`);
+    const readyUrl = `http://127.0.0.1:${readyPort}/ready`;
+    await waitUntil('gateway ready', async () => (await request(readyUrl)).statusCode === 200);
+  }
+  return {
+    store,
+    workers,
+    gateways,
+    urls,
+    publishWorker,
+    publishConfiguration,
+    close: async () => {
+      for (const gateway of gateways) gateway.stop();
+      for (const worker of workers) await worker.close();
+      await store.close();
+    },
+  };
+}
+
+let nextRequest = 1;
+
+/**
+ * Sends a request as the platform's clients do.
+ *
+ * @param url - Gateway
+ * @param path - Request target
+ * @param headers - Changed headers; an undefined value leaves one out
+ * @returns The answer as far as it came
+ */
+export async function callGateway(
+  url: string,
+  path: string,
+  headers: Record<string, string> = {},
+  signal?: AbortSignal,
+): Promise<CallerAnswer> {
+  const isPost = !path.startsWith('/lookup/') && !path.startsWith('/open/');
+  nextRequest += 1;
+  const response = await request(`${url}${path}`, {
+    method: isPost ? 'POST' : 'GET',
+    headers: {
+      host: 'app.example',
+      'request-id': `r-${nextRequest}`,
+      'deadline-ms': '2000',
+      'x-api-key': 'key-1',
+      ...headers,
+    },
+    body: isPost ? 'question' : null,
+    ...(signal === undefined ? {} : { signal }),
+  });
+  let body = '';
+  let isWhole = true;
+  try {
+    for await (const chunk of response.body as AsyncIterable<Buffer>)
+      body += chunk.toString('utf8');
+  } catch {
+    isWhole = false;
+  }
+  return { status: response.statusCode, headers: response.headers, body, isWhole };
+}
