--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -14,6 +14,7 @@
 import { WindowBudget } from '../../request/retry/windowBudget.js';
 import type { Logger } from '../logging.js';
 import { Metrics } from '../metrics.js';
+import { startMetricsServer } from '../metricsServer.js';
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
 import { ConfigurationHolder } from './configurationHolder.js';
 import type { Knowledge } from './gatewayPeers.js';
@@ -58,6 +59,7 @@
   private readonly peers: GatewayPeers;
   private readonly context: ForwardingContext;
   private readonly incarnation = randomUUID();
+  private metricsServer: Server | undefined;
   private isDraining = false;
   private active = 0;
 
@@ -127,13 +129,13 @@
       .get('/ready', (_request: IncomingMessage, response: ServerResponse) => {
         response.writeHead(this.isReady() ? 200 : 503).end();
       })
-      .get('/metrics', (_request: IncomingMessage, response: ServerResponse) => {
-        response.end(JSON.stringify(this.metrics.summarize()));
-      })
-      .get('/dump', (_request: IncomingMessage, response: ServerResponse) => {
-        response.end(JSON.stringify(this.dump()));
-      })
       .listen(settings.readyPort, settings.host);
+    this.metricsServer = startMetricsServer({
+      host: settings.host,
+      port: settings.metricsPort,
+      metrics: this.metrics,
+      dump: () => this.dump(),
+    });
     await this.peers.start();
     const polling = {
       ...dependencies,
@@ -186,6 +188,7 @@
     this.front.close();
     this.ready.close();
     this.ready.closeAllConnections();
+    this.metricsServer?.close();
     this.front.closeAllConnections();
     this.dependencies.source.close();
     this.dependencies.logger.info({ unfinished: this.active }, 'gateway stopped');
--- a/src/process/logging.ts
+++ b/src/process/logging.ts
@@ -20,7 +20,8 @@
   error(fields: LogFields, message: string): void;
 }
 
-const levelNumbers: Readonly<Record<LogLevel, number>> = {
+/** Numbers that stand for the levels in log lines. */
+export const levelNumbers: Readonly<Record<LogLevel, number>> = {
   debug: 20,
   info: 30,
   warn: 40,
--- /dev/null
+++ b/src/process/metricsServer.ts
@@ -0,0 +1,50 @@
+import type { Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import polka from 'polka';
+import type { Metrics } from './metrics.js';
+
+/**
+ * Serves counters and latencies as text, and the state of the process as JSON.
+ *
+ * @param options - Address, metrics and dump
+ * @returns The listening server
+ */
+export function startMetricsServer(options: {
+  readonly host: string;
+  readonly port: number;
+  readonly metrics: Metrics;
+  dump(): unknown;
+}): Server {
+  const server = createServer();
+  polka({ server })
+    .get('/metrics', (_request: unknown, response: ServerResponse) => {
+      response.setHeader('Content-Type', 'text/plain');
+      response.end(formatMetrics(options.metrics));
+    })
+    .get('/dump', (_request: unknown, response: ServerResponse) => {
+      response.setHeader('Content-Type', 'application/json');
+      response.end(JSON.stringify(options.dump()));
+    })
+    .listen(options.port, options.host);
+  return server;
+}
+
+/**
+ * Formats metrics as one `name value` line each; latencies are in milliseconds.
+ *
+ * @param metrics - Metrics of the process
+ * @returns Text that ends with a line feed
+ */
+export function formatMetrics(metrics: Metrics): string {
+  const { counters, latencies } = metrics.summarize();
+  const lines: string[] = [];
+  for (const [name, value] of Object.entries(counters)) {
+    lines.push(`parsleyfold_${name}_total ${value}`);
+  }
+  for (const [name, latency] of Object.entries(latencies)) {
+    for (const [field, value] of Object.entries(latency)) {
+      lines.push(`parsleyfold_${name}_${field} ${value}`);
+    }
+  }
+  return `${lines.join('\n')}\n`;
+}
--- a/src/process/ranker/rankerDaemon.ts
+++ b/src/process/ranker/rankerDaemon.ts
@@ -1,3 +1,4 @@
+import type { Server } from 'node:http';
 import { randomUUID } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { maintainLink, parseAddress } from '../../connection/linkClient.js';
@@ -8,6 +9,7 @@
 import type { ConfigurationSource } from '../gateway/types.js';
 import type { Logger } from '../logging.js';
 import { Metrics } from '../metrics.js';
+import { startMetricsServer } from '../metricsServer.js';
 import type { RankerSettings } from '../settings/rankerSettings.js';
 import { coordinateGroup } from './coordinator.js';
 import { GroupView } from './groupView.js';
@@ -60,6 +62,7 @@
   private readonly coordinatorLinks = new Set<PeerLink>();
   private readonly linkedAddresses = new Map<string, AbortController>();
   private readonly calls = new Map<number, (outcome: OrderOutcome) => void>();
+  private metricsServer: Server | undefined;
   private nextCall = 1;
   private busyUntil = -Infinity;
   /** Version whose copies are awaited. */
@@ -93,6 +96,12 @@
   /** Opens the port and starts to report. */
   async start(): Promise<void> {
     await this.server.listen();
+    this.metricsServer = startMetricsServer({
+      host: parseAddress(this.settings.linkAddress).host,
+      port: this.settings.metricsPort,
+      metrics: this.metrics,
+      dump: () => this.dump(),
+    });
     void this.maintainReports();
     this.dependencies.logger.info({ incarnation: this.incarnation }, 'ranker started');
   }
@@ -101,10 +110,26 @@
   stop(): void {
     this.stopping.abort();
     this.server.close();
+    this.metricsServer?.close();
     this.dependencies.source.close();
     this.dependencies.logger.info({}, 'ranker stopped');
   }
 
+  /**
+   * Describes the state.
+   *
+   * @returns Links, and at the coordinator the ranks of the group
+   */
+  dump(): unknown {
+    return {
+      process: this.settings.processId,
+      incarnation: this.incarnation,
+      coordinators: this.coordinatorLinks.size,
+      group: this.view?.group,
+      ranks: [...(this.view?.seats.values() ?? [])].map(({ report }) => report),
+    };
+  }
+
   /** Reads the own rank again and again and tells the coordinator. */
   private async maintainReports(): Promise<void> {
     const { engine } = this.dependencies;
--- a/src/process/settings/gatewaySettings.ts
+++ b/src/process/settings/gatewaySettings.ts
@@ -17,6 +17,8 @@
   /** Own address for links between gateways, `ip:port`. */
   readonly linkAddress: string;
   readonly seeds: readonly string[];
+  /** Port of counters, latencies and the state dump on `host`. */
+  readonly metricsPort: number;
   readonly storeAddress: string;
   /** A revoked key must not be honoured longer than this. */
   readonly keyProofMs: number;
@@ -45,6 +47,16 @@
       .filter((part) => part !== ''),
   );
 
+/** Default of the deploy file; any free port will do. */
+const DEFAULT_METRICS_PORT = 9464;
+
+export const metricsPortField = z.coerce
+  .number({ error: 'expected a port from 0 to 65535' })
+  .int()
+  .min(0)
+  .max(65_535)
+  .default(DEFAULT_METRICS_PORT);
+
 const gatewaySchema = z.object({
   process: z.object({
     id: z.string().min(1),
@@ -52,7 +64,12 @@
     log_level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
     stop_limit_seconds: number,
   }),
-  listen: z.object({ front: addressField, ready: addressField, links: addressField }),
+  listen: z.object({
+    front: addressField,
+    ready: addressField,
+    links: addressField,
+    metrics_port: metricsPortField,
+  }),
   peers: z.object({ seeds: addresses }),
   store: z.object({ address: addressField }),
   keys: z.object({ proof_ms: number }),
@@ -80,6 +97,7 @@
       frontPort: parseAddress(listen.front).port,
       readyPort: parseAddress(listen.ready).port,
       linkAddress: listen.links,
+      metricsPort: listen.metrics_port,
       seeds: peers.seeds,
       storeAddress: store.address,
       keyProofMs: keys.proof_ms,
--- a/src/process/settings/rankerSettings.ts
+++ b/src/process/settings/rankerSettings.ts
@@ -3,7 +3,7 @@
 import type { ServiceId } from '../../ids.js';
 import { toId } from '../../ids.js';
 import type { LogLevel } from '../logging.js';
-import { addressField, readSections } from './gatewaySettings.js';
+import { addressField, metricsPortField, readSections } from './gatewaySettings.js';
 import type { SettingsError } from './readSettings.js';
 
 export interface RankerSettings {
@@ -12,6 +12,8 @@
   readonly logLevel: LogLevel;
   /** Own address for links between rankers, `ip:port`. */
   readonly linkAddress: string;
+  /** Port of counters, latencies and the state dump. */
+  readonly metricsPort: number;
   readonly storeAddress: string;
   /** Engine on the same host, `ip:port`. */
   readonly engineAddress: string;
@@ -24,7 +26,7 @@
     availability_zone: z.string().min(1),
     log_level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
   }),
-  listen: z.object({ links: addressField }),
+  listen: z.object({ links: addressField, metrics_port: metricsPortField }),
   store: z.object({ address: addressField }),
   engine: z.object({ address: addressField, service: z.string().min(1) }),
 });
@@ -41,6 +43,7 @@
     availabilityZone: process.availability_zone,
     logLevel: process.log_level,
     linkAddress: listen.links,
+    metricsPort: listen.metrics_port,
     storeAddress: store.address,
     engineAddress: engine.address,
     service: toId<ServiceId>(engine.service),
--- a/test/support/gatewayFixture.ts
+++ b/test/support/gatewayFixture.ts
@@ -111,6 +111,7 @@
       readyPort,
       linkAddress: `127.0.0.1:${linkPort}`,
       seeds,
+      metricsPort: 0,
       storeAddress: `127.0.0.1:${store.port}`,
       keyProofMs: 5000,
       stopLimitMs: 8000,
