fix: pass answers without a length on without one

Ruled out: undici taking a reset or a cut chunk for the end; the trace shows an orderly end of the connection.

--- a/src/request/forwarding/callerReply.ts
+++ b/src/request/forwarding/callerReply.ts
@@ -47,7 +47,14 @@
   sendAnswer(head: AnswerHead, body: Buffer): void {
     if (this.hasEnded || this.hasHead) return;
     this.hasEnded = true;
-    this.writeHead(head, [['Content-Length', String(body.length)]]);
+    if (head.isFramed) {
+      this.writeHead(head, [['Content-Length', String(body.length)]]);
+    } else {
+      // Nobody can tell whether a body without a length was cut; a length of our own would vouch for it.
+      this.response.useChunkedEncodingByDefault = false;
+      this.response.shouldKeepAlive = false;
+      this.writeHead(head, [['Connection', 'close']]);
+    }
     this.response.end(body);
   }
 
@@ -113,7 +120,8 @@
 
   private writeHead(head: AnswerHead, extra: [string, string][]): void {
     const headers = [...head.headers, ...extra];
-    if (this.isDraining()) headers.push(['Connection', 'close']);
+    const closes = extra.some(([name]) => name === 'Connection');
+    if (this.isDraining() && !closes) headers.push(['Connection', 'close']);
     this.response.writeHead(head.status, headers.flat());
   }
 }
--- a/test/failures/gateway.spec.ts
+++ b/test/failures/gateway.spec.ts
@@ -109,6 +109,19 @@
     });
   }
 
+  it('guards against a length that vouches for a body which came without one', async () => {
+    fixture = await startGatewayFixture({ workers: 1 });
+    fixture.workers[0]!.behaviour = 'unframed';
+    const answer = await call('/pay/a');
+    expect(answer).to.include({ status: 200, body: 'half of a bal' });
+    const { 'content-length': length, 'transfer-encoding': encoding, connection } = answer.headers;
+    expect({ length, encoding, connection }).to.deep.equal({
+      length: undefined,
+      encoding: undefined,
+      connection: 'close',
+    });
+  });
+
   it('guards against a refusal that is said although the request may have run', async () => {
     fixture = await startGatewayFixture({ workers: 1 });
     fixture.workers[0]!.behaviour = 'hang';
--- a/test/standins/platformWorker.ts
+++ b/test/standins/platformWorker.ts
@@ -16,6 +16,8 @@
   | 'unsealed'
   /** A body without length that ends with a reset. */
   | 'unframedReset'
+  /** A body without length that ends with the connection. */
+  | 'unframed'
   /** A chunked body that ends without its last chunk, on a connection that closes in order. */
   | 'chunkedCut'
   | 'hang'
@@ -143,6 +145,10 @@
         setTimeout(() => response.socket?.resetAndDestroy(), state.gapMs);
       });
     },
+    unframed: () => {
+      const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nServer-Seal: s\r\nConnection: close\r\n\r\n`;
+      response.socket?.end(`${head}half of a bal`);
+    },
     chunkedCut: () => {
       const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nServer-Seal: s\r\nConnection: close\r\n`;
       response.socket?.end(`${head}Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n`);
