--- a/bench/proofs/heldMaps.ts
+++ b/bench/proofs/heldMaps.ts
@@ -159,3 +159,35 @@
   await Promise.all(seats.map((seat) => seat.sendOrder({ kind: 'arm', version, pass }, epoch)));
   return 'switched';
 }
+
+/**
+ * Proves that maps never mix in a pass under unreliable orders.
+ *
+ * @param options - Seed and number of schedules; the naive way runs a tenth of them
+ * @returns Sums for each way; `mixed_passes` and `stuck` must be 0 for `held`
+ */
+export async function proveHeldMaps(options: {
+  seed: number;
+  count: number;
+}): Promise<Record<string, unknown>> {
+  const held = await sumSchedules('held', options.seed, options.count);
+  const naive = await sumSchedules('naive', options.seed, Math.ceil(options.count / 10));
+  return { ...options, held, naive };
+}
+
+async function sumSchedules(
+  way: ChangeWay,
+  seed: number,
+  count: number,
+): Promise<Record<string, number>> {
+  const sums = { schedules: count, passes: 0, mixed_passes: 0, changes: 0, switched: 0, stuck: 0 };
+  for (let index = 0; index < count; index += 1) {
+    const result = await runMapSchedule(`${seed}/${index}`, way);
+    sums.passes += result.passes;
+    sums.mixed_passes += result.mixedPasses;
+    sums.changes += result.changes;
+    sums.switched += result.switched;
+    sums.stuck += result.isStuck ? 1 : 0;
+  }
+  return sums;
+}
--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -28,6 +28,11 @@
     defaultCount: 2_000,
     load: () => loadRun('./proofs/answers.js', 'proveAnswers'),
   },
+  heldMaps: {
+    summary: 'ranks switch maps before the same pass while orders are lost, late or doubled',
+    defaultCount: 200,
+    load: () => loadRun('./proofs/heldMaps.js', 'proveHeldMaps'),
+  },
   maps: {
     summary: 'ranks of a group use one expert map in every step',
     defaultCount: 200,
--- a/src/process/agent/requestRunner.ts
+++ b/src/process/agent/requestRunner.ts
@@ -164,6 +164,7 @@
       resumeText: message.resumeText + attempt.text,
       priority: this.context.computePriority(message.workspace),
       maxOutputTokens: this.context.getMaxOutputTokens(),
+      isExpired: () => this.context.readClock() >= attempt.acceptedAt + message.remainingMs,
       signal: abort.signal,
       onTokens: (tokens) => {
         this.sendTokens(attempt, tokens);
--- a/src/process/agent/upstreams/engine.ts
+++ b/src/process/agent/upstreams/engine.ts
@@ -1,6 +1,8 @@
+import type { Dispatcher } from 'undici';
 import { Agent, request } from 'undici';
 import { z } from 'zod';
 import { describeFailure } from './failure.js';
+import { ExpiredError, guardExpiry } from './guardExpiry.js';
 import type { Exchange, ExchangeEnd, UpstreamAdapter, UpstreamLoad } from './types.js';
 
 /** Caller's chat body: OpenAI messages, or a bare prompt. */
@@ -50,10 +52,10 @@
  */
 export function createEngineAdapter(url: string): UpstreamAdapter {
   const dispatcher = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
-  const post = (path: string, body: unknown, signal: AbortSignal) =>
+  const post = (path: string, body: unknown, signal: AbortSignal, via: Dispatcher = dispatcher) =>
     request(`${url}${path}`, {
       method: 'POST',
-      dispatcher,
+      dispatcher: via,
       signal,
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(body),
@@ -83,7 +85,9 @@
       resume_text: resumeText,
     };
     try {
-      const answer = await post('/v1/generate', message, signal);
+      const { isExpired } = exchange;
+      const via = isExpired === undefined ? dispatcher : guardExpiry(dispatcher, isExpired);
+      const answer = await post('/v1/generate', message, signal, via);
       if (answer.statusCode === REFUSED_STATUS) {
         await answer.body.dump();
         return fail('upstream_refused', 'engine refused the request', false);
@@ -95,6 +99,7 @@
       const end = await readStream(answer.body, resumeAfter, exchange);
       return end ?? fail('upstream_failed', 'stream ended without its end marker', true);
     } catch (error) {
+      if (error instanceof ExpiredError) return fail('timeout', error.message, false);
       if (signal.aborted) void cancel(id);
       return describeFailure(error, signal.aborted);
     }
@@ -130,7 +135,7 @@
 }
 
 function fail(
-  code: 'bad_request' | 'upstream_failed' | 'upstream_refused',
+  code: 'bad_request' | 'timeout' | 'upstream_failed' | 'upstream_refused',
   message: string,
   started: boolean,
 ): ExchangeEnd {
--- a/src/process/agent/upstreams/types.ts
+++ b/src/process/agent/upstreams/types.ts
@@ -12,6 +12,8 @@
   readonly priority: number;
   /** Used when the body names no limit. */
   readonly maxOutputTokens: number;
+  /** Asked right before the first byte is sent; work that expired while the process was paused is not sent. */
+  readonly isExpired?: () => boolean;
   /** Aborting ends the exchange at the upstream too. */
   readonly signal: AbortSignal;
   readonly onTokens: (tokens: string[]) => void;
