--- /dev/null
+++ b/src/process/ranker/changeMap.spec.ts
@@ -0,0 +1,84 @@
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import { mock } from 'node:test';
+import { expect } from 'chai';
+import { LockstepGroup } from '../../../test/standins/lockstepGroup.js';
+import type { ChangeOutcome } from './changeMap.js';
+import { changeMap } from './changeMap.js';
+import { GroupView } from './groupView.js';
+
+const RANKS = 4;
+const TICK_MS = 5;
+const OWN_STATUS_MS = 20;
+const OTHER_STATUS_MS = 420;
+const noFaults = { lost: 0, late: 0, unanswered: 0, doubled: 0 };
+const placement = [Array.from({ length: RANKS }, (_, rank) => [rank])];
+
+describe('map change', () => {
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['setTimeout'] });
+  });
+  afterEach(() => {
+    mock.timers.reset();
+  });
+
+  const run = async (
+    untilMs: number,
+    isReported: (rank: number, now: number, group: LockstepGroup) => boolean,
+  ): Promise<{ outcome: ChangeOutcome | undefined; tookMs: number; view: GroupView }> => {
+    let now = 0;
+    const group = new LockstepGroup(
+      RANKS,
+      () => 0.5,
+      noFaults,
+      () => now,
+    );
+    const view = new GroupView('g', RANKS);
+    const publish = (rank: number): void => {
+      const status = { report: group.report(rank), choices: [], experts: [[rank]] };
+      view.applyStatus(
+        status,
+        (order, epoch) => group.takeOrder(rank, order, epoch),
+        undefined,
+        now,
+      );
+    };
+    for (let rank = 0; rank < RANKS; rank += 1) publish(rank);
+    let outcome: ChangeOutcome | undefined;
+    const context = { view, readNow: () => now, firstFreePass: 0, lostOrderAt: -Infinity };
+    void changeMap(context, { version: 5, epoch: 1, placement }).then((ended) => {
+      outcome = ended;
+    });
+    while (outcome === undefined && now < untilMs) {
+      now += TICK_MS;
+      mock.timers.tick(TICK_MS);
+      group.run();
+      for (let rank = 0; rank < RANKS; rank += 1) if (isReported(rank, now, group)) publish(rank);
+      await nextTurn();
+    }
+    return { outcome, tookMs: now, view };
+  };
+
+  it('guards against changes that wait for the rare reports of the other ranks', async () => {
+    const { outcome, tookMs, view } = await run(3000, (rank, now, group) => {
+      const isCopying = group.report(rank).prepared === undefined || now < 200;
+      return now % (rank === 0 || isCopying ? OWN_STATUS_MS : OTHER_STATUS_MS) === 0;
+    });
+    expect(outcome).to.equal('switched');
+    // The copy takes 150 ms, the next pass begins within 50 ms, reports come every 20 ms.
+    expect(tookMs).to.be.at.most(300);
+    expect([...view.seats.values()].map(({ report }) => report.map)).to.deep.equal([5, 5, 5, 5]);
+  });
+
+  it('guards against a report from before the switch that takes a map back', async () => {
+    const { view } = await run(3000, (_rank, now) => now % OWN_STATUS_MS === 0);
+    const stale = { ...view.seats.get(2)!.report, map: 0 };
+    view.applyStatus({ report: stale, choices: [] }, view.seats.get(2)!.sendOrder, undefined, 1000);
+    expect(view.seats.get(2)!.report.map).to.equal(5);
+    expect(view.readPlacement([...view.seats.values()])).to.deep.equal(placement);
+  });
+
+  it('guards against a pass that stays held when a rank does not answer', async () => {
+    const { outcome } = await run(20_000, (rank, now) => rank !== 3 && now % OWN_STATUS_MS === 0);
+    expect(outcome).to.equal('not_prepared');
+  });
+});
