--- a/src/process/entry/entryDaemon.ts
+++ b/src/process/entry/entryDaemon.ts
@@ -22,7 +22,6 @@
 import { SuspectList } from './suspectList.js';
 import type { EntryDaemon, EntryDependencies } from './types.js';
 
-const DRAIN_POLL_MS = 20;
 /** Lets the final answers of cut requests leave. */
 const CUT_FLUSH_MS = 200;
 const STALL_CHECK_MS = 200;
@@ -192,8 +191,7 @@
     this.draining = true;
     for (const link of this.linkServer.links) link.send({ type: 'draining' });
     await this.http.stopAccepting();
-    const limit = Date.now() + this.options.drainLimitMs;
-    while (this.http.isBusy(Date.now()) && Date.now() < limit) await sleep(DRAIN_POLL_MS);
+    await this.http.waitUntilQuiet(AbortSignal.timeout(this.options.drainLimitMs));
     await this.stop();
   }
 
--- a/src/request/http/errors.spec.ts
+++ b/src/request/http/errors.spec.ts
@@ -1,11 +1,14 @@
 import { expect } from '../../../test/support/snapshot.js';
+import { once } from 'node:events';
 import { Agent, request } from 'node:http';
 import type { IncomingMessage } from 'node:http';
 import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 import { PassThrough } from 'node:stream';
 import type { EntryFixture } from '../../../test/support/entryFixture.js';
 import { startFixture } from '../../../test/support/entryFixture.js';
 import { sendChunks, sendEnd } from '../../../test/support/fakeAgent.js';
+import { waitMs } from '../../../test/support/waiting.js';
 import { readBody } from './readBody.js';
 
 const CHAT = '/v1/chat/completions';
@@ -29,6 +32,28 @@
   });
 }
 
+const GET_MODELS = 'GET /v1/models HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer secret\r\n\r\n';
+
+/** Reads until the end of a connection, or the error that cut it. */
+function readConnection(socket: Socket): Promise<string> {
+  return new Promise((resolve) => {
+    let text = '';
+    socket.on('data', (data: Buffer) => (text += data.toString()));
+    socket.once('error', (error: NodeJS.ErrnoException) => {
+      resolve(error.code ?? error.message);
+    });
+    socket.once('end', () => {
+      resolve(text);
+    });
+  });
+}
+
+/** Keeps the process from reading its sockets. */
+function blockEventLoop(forMs: number): void {
+  const end = Date.now() + forMs;
+  while (Date.now() < end);
+}
+
 describe('HTTP errors', () => {
   let fixture: EntryFixture;
   afterEach(() => fixture.close());
@@ -151,4 +176,53 @@
     expect(body).to.not.contain('[DONE]');
     agent.destroy();
   });
+
+  it('guards against resetting unread requests of an entry that gets no processor time while it drains', async () => {
+    fixture = await startFixture([]);
+    const socket = connect(fixture.entry.httpPort, '127.0.0.1');
+    await once(socket, 'connect');
+    const received = readConnection(socket);
+    const drained = fixture.entry.drain();
+    await waitMs(150);
+    socket.write(GET_MODELS);
+    blockEventLoop(400);
+    expect(await received)
+      .to.contain('503')
+      .and.to.contain('draining');
+    await drained;
+  });
+
+  it('guards against closing a kept-alive connection while a slow caller sends its next request', async () => {
+    fixture = await startFixture([]);
+    const socket = connect(fixture.entry.httpPort, '127.0.0.1');
+    socket.write(GET_MODELS);
+    const [first] = (await once(socket, 'data')) as [Buffer];
+    expect(first.toString()).to.contain('Keep-Alive: timeout=5');
+    const received = readConnection(socket);
+    const drained = fixture.entry.drain();
+    // The caller may use the connection for as long as the answer has stated.
+    await waitMs(700);
+    socket.write(GET_MODELS);
+    expect(await received)
+      .to.contain('503')
+      .and.to.contain('draining');
+    await drained;
+  });
+
+  it('guards against resetting connections that wait for acceptance when draining starts', async () => {
+    fixture = await startFixture([]);
+    // The answer is read in the poll phase, so the connection below is not accepted before the next one.
+    const first = connect(fixture.entry.httpPort, '127.0.0.1');
+    first.write(GET_MODELS);
+    await once(first, 'data');
+    const socket = connect(fixture.entry.httpPort, '127.0.0.1');
+    const received = readConnection(socket);
+    const drained = fixture.entry.drain();
+    socket.write(GET_MODELS);
+    expect(await received)
+      .to.contain('503')
+      .and.to.contain('draining');
+    await drained;
+    first.destroy();
+  });
 });
--- a/src/request/http/httpServer.ts
+++ b/src/request/http/httpServer.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { Server as NetServer } from 'node:net';
+import { setImmediate as waitForCheckPhase, setTimeout as sleep } from 'node:timers/promises';
 import polka from 'polka';
 import { createError } from '../../errors.js';
 import type { RequestError } from '../../errors.js';
@@ -16,11 +17,15 @@
 import type { HttpContext, Route } from './types.js';
 
 const NOT_READY_RETRY_MS = 500;
+const QUIET_POLL_MS = 20;
+/** Stated to callers in `Keep-Alive`; a caller that keeps to it sends nothing on a connection idle for longer. */
+const KEEP_ALIVE_MS = 5_000;
 /**
- * A kept-alive connection on which a request is already on its way would be reset by an immediate close. Requests
- * that arrive meanwhile are refused and close their connection.
+ * A connection on which a request is already on its way would be reset by an immediate close; requests that arrive
+ * meanwhile are refused and close their connection. Counts reads of the sockets instead of time: a process that gets
+ * no processor time for a while has read nothing in it.
  */
-const QUIET_BEFORE_CLOSE_MS = 250;
+const QUIET_POLLS_BEFORE_CLOSE = KEEP_ALIVE_MS / QUIET_POLL_MS;
 const REQUEST_ID = /^[\w.-]{1,128}$/;
 
 const routes: readonly Route[] = [
@@ -53,7 +58,9 @@
   private readonly idPrefix = randomBytes(6).toString('hex');
   private count = 0;
   private active = 0;
-  private lastRequestAt = 0;
+  private connections = 0;
+  /** Connections and requests so far. */
+  private arrivals = 0;
   private readonly pauses = new PauseDetector(Date.now());
   private readonly ticks: NodeJS.Timeout;
 
@@ -62,9 +69,17 @@
       maxHeaderSize: defaults.maxHeaderBytes,
       headersTimeout: defaults.bodyTimeoutMs,
       requestTimeout: 2 * defaults.bodyTimeoutMs,
+      keepAliveTimeout: KEEP_ALIVE_MS,
       noDelay: true,
     });
     this.server.on('clientError', refuseMalformed);
+    this.server.on('connection', (socket) => {
+      this.arrivals += 1;
+      this.connections += 1;
+      socket.once('close', () => {
+        this.connections -= 1;
+      });
+    });
     this.app = this.createApp();
     this.ticks = setInterval(() => {
       this.pauses.noteTick(Date.now());
@@ -93,23 +108,29 @@
     });
   }
 
-  /**
-   * Checks whether closing all connections could cut off a request.
-   *
-   * @param now - Milliseconds
-   * @returns True while requests run or have just arrived
-   */
-  isBusy(now: number): boolean {
-    return this.active > 0 || now - this.lastRequestAt < QUIET_BEFORE_CLOSE_MS;
-  }
-
-  /** Stops accepting connections; kept-alive ones stay open, so that their requests get an answer. */
+  /** Stops accepting connections; open ones stay open, so that their requests get an answer. */
   async stopAccepting(): Promise<void> {
     // Connections that wait in the kernel's queue are reset with the listener; this follows their acceptance.
-    await new Promise((resolve) => setImmediate(resolve));
+    await readSockets();
     this.closeListener();
   }
 
+  /**
+   * Waits until callers have closed their connections or leave them unused for longer than they may.
+   *
+   * @param signal - Ends the wait
+   */
+  async waitUntilQuiet(signal: AbortSignal): Promise<void> {
+    let quietPolls = 0;
+    while (quietPolls < QUIET_POLLS_BEFORE_CLOSE && this.connections > 0 && !signal.aborted) {
+      const { arrivals } = this;
+      await sleep(QUIET_POLL_MS);
+      await readSockets();
+      const isQuiet = this.active === 0 && this.arrivals === arrivals;
+      quietPolls = isQuiet ? quietPolls + 1 : 0;
+    }
+  }
+
   /** Closes all connections. */
   close(): void {
     clearInterval(this.ticks);
@@ -159,7 +180,7 @@
     const { context } = this;
     const readAt = Date.now();
     const receivedAt = this.pauses.computeArrival(readAt);
-    this.lastRequestAt = readAt;
+    this.arrivals += 1;
     const requestId = this.prepare(request, response);
     const refusal = this.findRefusal(response);
     if (refusal !== undefined) {
@@ -205,6 +226,12 @@
   }
 }
 
+/** Lets the event loop read its sockets once: the second check phase follows a whole poll phase. */
+async function readSockets(): Promise<void> {
+  await waitForCheckPhase();
+  await waitForCheckPhase();
+}
+
 function refuseMalformed(error: Error & { code?: string }, socket: Socket): void {
   if (!socket.writable) {
     socket.destroy();
