--- a/src/request/admission/groupHealth.spec.ts
+++ b/src/request/admission/groupHealth.spec.ts
@@ -40,7 +40,7 @@
 
   it('guards against an idle group that looks stalled', () => {
     const health = create();
-    health.noteStart(a, 0)();
+    health.noteStart(a, 0)(0);
     expect(health.isUsable(a, 10_000)).to.equal(true);
     health.noteStart(a, 10_000);
     expect(health.isUsable(a, 10_100)).to.equal(true);
@@ -59,7 +59,7 @@
   it('guards against a trial that ends without a word and blocks the group', () => {
     const health = create();
     health.noteBroken(a, 0);
-    health.noteStart(a, 400)();
+    health.noteStart(a, 400)(410);
     expect(health.isUsable(b, 401)).to.equal(true);
   });
 
@@ -79,7 +79,7 @@
     const health = new GroupHealth();
     const end = health.noteStart(a, 0);
     health.setGroup(a, 'g0');
-    end();
+    end(10);
     expect(health.isUsable(a, 10_000)).to.equal(true);
   });
 
@@ -111,4 +111,25 @@
     expect(health.isUsable(a, 520)).to.equal(false);
     expect(health.listBroken(400)).to.deep.equal([]);
   });
+
+  it('guards against a second wave of work for a silent group whose callers have all left', () => {
+    const health = create();
+    const end = health.noteStart(a, 0);
+    health.noteProgress(a, 100);
+    end(2_100);
+    expect(health.isUsable(b, 2_110)).to.equal(false);
+    expect(health.listBroken(9_000), 'its ranks report it open').to.deep.equal([]);
+    expect(health.findOutageStart(b, 2_110)).to.equal(460);
+    expect(health.isUsable(b, 2_500)).to.equal(true);
+    health.noteStart(b, 2_500);
+    expect(health.isUsable(a, 2_510)).to.equal(false);
+    health.noteProgress(b, 2_600);
+    expect(health.isUsable(a, 2_610)).to.equal(true);
+  });
+
+  it('guards against a plain upstream that looks silent because it works for long', () => {
+    const health = new GroupHealth();
+    health.noteStart(a, 0)(2_000);
+    expect(health.isUsable(a, 2_001)).to.equal(true);
+  });
 });
--- a/src/request/admission/groupHealth.ts
+++ b/src/request/admission/groupHealth.ts
@@ -14,6 +14,8 @@
   /** When the first and the last fault since the last progress were noted. */
   brokenAt: number;
   lastFaultAt: number;
+  /** It went silent without breaking, so its ranks report it open. */
+  isSilent: boolean;
 }
 
 /**
@@ -44,13 +46,21 @@
    * @param now - Milliseconds
    * @returns Notes its end, however it came
    */
-  noteStart(upstream: UpstreamId, now: number): () => void {
+  noteStart(upstream: UpstreamId, now: number): (endedAt: number) => void {
     // The group may be learned while the request runs, so its end belongs to the state of its start.
     const state = this.getState(upstream);
     if (state.running === 0) state.lastProgressAt = now;
     state.running += 1;
-    return () => {
+    return (endedAt) => {
       state.running -= 1;
+      const isLast = state.running === 0 && this.groupOf.has(upstream);
+      const silentSince = state.lastProgressAt + STALL_MS;
+      // Without its callers a silent group would look idle, and the next ones would wait for it again.
+      if (isLast && state.faults === 0 && endedAt >= silentSince) {
+        this.pause(state, endedAt);
+        state.brokenAt = silentSince;
+        state.isSilent = true;
+      }
     };
   }
 
@@ -75,12 +85,10 @@
    */
   noteBroken(upstream: UpstreamId, now: number): void {
     const state = this.getState(upstream);
+    state.isSilent = false;
     // All requests of a group fail together; they count as one fault.
     if (state.pausedUntil > now) return;
-    state.lastFaultAt = now;
-    if (state.faults === 0) state.brokenAt = now;
-    state.pausedUntil = now + Math.min(FIRST_PAUSE_MS * 2 ** state.faults, MAX_PAUSE_MS);
-    state.faults += 1;
+    this.pause(state, now);
   }
 
   /**
@@ -110,7 +118,8 @@
     const ranksOf = new Map<string, UpstreamId[]>();
     for (const [rank, group] of this.groupOf) {
       const state = this.states.get(group);
-      if (state === undefined || state.faults === 0 || state.lastFaultAt > before) continue;
+      if (state === undefined || state.faults === 0 || state.isSilent) continue;
+      if (state.lastFaultAt > before) continue;
       ranksOf.set(group, [...(ranksOf.get(group) ?? []), rank]);
     }
     return [...ranksOf].map(([group, ranks]) => ({ group, ranks }));
@@ -157,6 +166,13 @@
     return this.isUsable(upstream, now) ? undefined : lastProgressAt + STALL_MS;
   }
 
+  private pause(state: GroupState, now: number): void {
+    if (state.faults === 0) state.brokenAt = now;
+    state.lastFaultAt = now;
+    state.pausedUntil = now + Math.min(FIRST_PAUSE_MS * 2 ** state.faults, MAX_PAUSE_MS);
+    state.faults += 1;
+  }
+
   private getState(upstream: UpstreamId): GroupState {
     const group = this.groupOf.get(upstream) ?? upstream;
     let state = this.states.get(group);
@@ -168,6 +184,7 @@
         faults: 0,
         brokenAt: -Infinity,
         lastFaultAt: -Infinity,
+        isSilent: false,
       };
       this.states.set(group, state);
     }
--- a/src/request/admission/placeBoard.ts
+++ b/src/request/admission/placeBoard.ts
@@ -59,11 +59,11 @@
     let isReleased = false;
     return {
       upstream: chosen,
-      release: () => {
+      release: (endedAt) => {
         if (isReleased) return;
         isReleased = true;
         load.ownRunning -= 1;
-        noteEnd();
+        noteEnd(endedAt);
       },
     };
   }
