--- a/bench/proofs/heldMaps.spec.ts
+++ b/bench/proofs/heldMaps.spec.ts
@@ -2,6 +2,8 @@
 import { runMapSchedule } from './heldMaps.js';
 
 const SCHEDULES = 40;
+/** Callers leave a stream after a pause of this length. */
+const CALLER_GAP_MS = 2_000;
 
 describe('map changes over unreliable orders', () => {
   it('guards against a pass with two maps and a group that stays held', async function () {
@@ -16,6 +18,25 @@
     expect(switched).to.be.greaterThan(SCHEDULES);
   });
 
+  it('guards against two maps in a pass when a coordinator that was frozen goes on', async function () {
+    this.timeout(60_000);
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const options = { hasFreezes: true };
+      const { mixedPasses, isStuck } = await runMapSchedule(`frozen-${seed}`, 'held', options);
+      expect(mixedPasses, `seed frozen-${seed}`).to.equal(0);
+      expect(isStuck, `seed frozen-${seed}`).to.equal(false);
+    }
+  });
+
+  it('guards against a group that stays held while the host of its coordinator is frozen', async function () {
+    this.timeout(60_000);
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const options = { hasFreezes: true };
+      const { longestHoldMs } = await runMapSchedule(`frozen-${seed}`, 'held', options);
+      expect(longestHoldMs, `seed frozen-${seed}`).to.be.at.most(CALLER_GAP_MS);
+    }
+  });
+
   it('shows that arming without a held pass mixes maps', async function () {
     this.timeout(60_000);
     let mixed = 0;
--- a/bench/proofs/heldMaps.ts
+++ b/bench/proofs/heldMaps.ts
@@ -9,6 +9,10 @@
 const TICK_MS = 10;
 const STATUS_MS = 20;
 const RANKS = 4;
+/** Longest freeze of a host that the users state. */
+const FREEZE_MS = 4_000;
+/** Part of the held passes during which the coordinator freezes. */
+const FREEZE_SHARE = 0.05;
 
 /** How a change is made; the naive way arms all ranks without holding the pass. */
 export type ChangeWay = 'held' | 'naive';
@@ -20,6 +24,13 @@
   readonly switched: number;
   /** The group made no pass in the last part of the schedule, which has no faults. */
   readonly isStuck: boolean;
+  /** Longest time in which a group with work was held before a pass. */
+  readonly longestHoldMs: number;
+}
+
+export interface ScheduleOptions {
+  /** The coordinator's host freezes while a pass is held. */
+  readonly hasFreezes?: boolean;
 }
 
 /**
@@ -28,19 +39,28 @@
  *
  * @param seed - Seed of all faults
  * @param way - How changes are made
+ * @param options - Further faults
  * @returns What happened
  */
-export async function runMapSchedule(seed: string, way: ChangeWay): Promise<ScheduleResult> {
+export async function runMapSchedule(
+  seed: string,
+  way: ChangeWay,
+  options: ScheduleOptions = {},
+): Promise<ScheduleResult> {
   const random = seedrandom(seed);
   mock.timers.enable({ apis: ['setTimeout'] });
   try {
-    return await runSchedule(random, way);
+    return await runSchedule(random, way, options);
   } finally {
     mock.timers.reset();
   }
 }
 
-async function runSchedule(random: () => number, way: ChangeWay): Promise<ScheduleResult> {
+async function runSchedule(
+  random: () => number,
+  way: ChangeWay,
+  { hasFreezes = false }: ScheduleOptions,
+): Promise<ScheduleResult> {
   let now = 0;
   const strength = random() * 0.5;
   const faults = {
@@ -57,6 +77,9 @@
   let switched = 0;
   let generation = 0;
   let isBusy = false;
+  let frozenUntil = 0;
+  let heldSince: number | undefined;
+  let longestHoldMs = 0;
   const publish = (): void => {
     for (let rank = 0; rank < RANKS; rank += 1) {
       const report = group.report(rank);
@@ -66,8 +89,10 @@
       view.applyStatus(
         { report, choices: [], experts },
         // A replaced coordinator sends nothing any more.
-        (sent, epoch) =>
-          order === view ? group.takeOrder(rank, sent, epoch) : new Promise(() => undefined),
+        async (sent, epoch) => {
+          while (now < frozenUntil) await new Promise((resolve) => setTimeout(resolve, TICK_MS));
+          return order === view ? group.takeOrder(rank, sent, epoch) : new Promise(() => undefined);
+        },
         undefined,
         now,
       );
@@ -110,7 +135,15 @@
     now += TICK_MS;
     mock.timers.tick(TICK_MS);
     group.run();
-    if (now % STATUS_MS === 0) publish();
+    const isHeld = !group.isIdle && group.ranks[0]?.held === group.pass + 1;
+    if (isHeld) heldSince ??= now;
+    else heldSince = undefined;
+    longestHoldMs = Math.max(longestHoldMs, now - (heldSince ?? now));
+    const mayFreeze = hasFreezes && isHeld && now < faultyUntil;
+    if (mayFreeze && now >= frozenUntil && random() < FREEZE_SHARE) {
+      frozenUntil = now + FREEZE_MS;
+    }
+    if (now % STATUS_MS === 0 && now >= frozenUntil) publish();
     if (now < faultyUntil) {
       if (random() < 0.002) group.isIdle = !group.isIdle;
       if (random() < 0.0005) group.restart();
@@ -138,6 +171,7 @@
     changes,
     switched,
     isStuck: group.pass === passBeforeEnd,
+    longestHoldMs,
   };
 }
 
