--- a/src/request/admission/admission.spec.ts
+++ b/src/request/admission/admission.spec.ts
@@ -93,6 +93,16 @@
     expect(board.takePlace(createRequest(), 4000)).to.not.equal(undefined);
   });
 
+  it('guards against taking a full upstream for one whose group is broken', () => {
+    const board = createBoard();
+    const [a] = upstreams;
+    if (a === undefined) throw new Error('no upstream');
+    board.applyPeerCounts('other', new Map([['a', 7]]), 0);
+    expect(board.isFull(a, 1)).to.equal(false);
+    board.applyPeerCounts('other', new Map([['a', 8]]), 2);
+    expect(board.isFull(a, 3)).to.equal(true);
+  });
+
   it('guards against new work for an upstream that has just failed', () => {
     const board = createBoard();
     board.noteFault(upstreams[0]!.id, 0);
--- a/test/failures/gateway.spec.ts
+++ b/test/failures/gateway.spec.ts
@@ -161,6 +161,27 @@
     expect(leaving!.seen.length).to.equal(before);
   });
 
+  it('guards against trying an entry again at whose address another upstream has answered', async () => {
+    fixture = await startGatewayFixture();
+    const [first] = fixture.workers;
+    if (first === undefined) throw new Error('no worker');
+    first.behaviour = 'otherInstance';
+    for (let round = 0; round < 3; round += 1) {
+      for (let count = 0; count < 6; count += 1) {
+        expect((await call('/lookup/a')).status).to.equal(200);
+      }
+      // An upstream that has only failed is tried again after 0.4 s.
+      await waitMs(500);
+    }
+    expect(first.seen.length).to.equal(1);
+    fixture.publishWorker(first, { born: 2 });
+    first.behaviour = 'serve';
+    await waitUntil('the new start is used', async () => {
+      await call('/lookup/a');
+      return first.seen.length > 1;
+    });
+  });
+
   it('guards against forged and unreadable entries of the upstream list', async () => {
     fixture = await startGatewayFixture({ workers: 1 });
     fixture.store.putBytes('servers/i-7', Buffer.from([0xff, 0x00, 0x7b]));
