--- a/bench/proofs/heldMaps.spec.ts
+++ b/bench/proofs/heldMaps.spec.ts
@@ -18,6 +18,13 @@
     expect(switched).to.be.greaterThan(SCHEDULES);
   });
 
+  it('guards against two maps in a pass in the rare schedules that a long proof has found', async function () {
+    this.timeout(60_000);
+    for (const seed of ['1/196', '1/442', '1/631', '1/1313', '1/1752']) {
+      expect((await runMapSchedule(seed, 'held')).mixedPasses, `seed ${seed}`).to.equal(0);
+    }
+  });
+
   it('guards against two maps in a pass when a coordinator that was frozen goes on', async function () {
     this.timeout(60_000);
     for (let seed = 1; seed <= 10; seed += 1) {
