fix: send the upstream's head with a stream that has no events

Cause: the head is sent with the first forwarded event; endStream then ended a response without a head, and Node sent an implicit 200 of its own. Evidence: a raw TCP stand-in; the new test failed before, with both framings: AssertionError: expected 'http/1.1 200 ok\r\ndate: fri, 04 dec …' to include 'request-id: r-1\r\nserver-seal: seal.…' Fix: the outcome of a stream holds its head, and the head is sent before the end if no event has sent it.

--- a/src/request/forwarding/attemptHandlers.ts
+++ b/src/request/forwarding/attemptHandlers.ts
@@ -34,10 +34,12 @@
     reply.sendResponse(outcome.head, outcome.body);
     return 'answered';
   },
-  streamed: (forwarding, _outcome, reservation) => {
+  streamed: (forwarding, outcome, reservation) => {
     const { context, reply, fingerprint } = forwarding;
     context.balancer.recordSuccess(reservation.upstream.id);
     context.suspects.recordSuccess(fingerprint);
+    // The head is sent with the first event, so a stream without events has not sent it yet.
+    reply.startStream(outcome.head);
     reply.endStream();
     return 'streamed';
   },
--- a/src/request/forwarding/runAttempt.ts
+++ b/src/request/forwarding/runAttempt.ts
@@ -125,7 +125,7 @@
     }
     if (this.splitter.hasPartialEvent)
       return { kind: 'broken', reason: 'stream ended within an event' };
-    return { kind: 'streamed' };
+    return { kind: 'streamed', head: this.head };
   }
 }
 
--- a/src/request/forwarding/types.ts
+++ b/src/request/forwarding/types.ts
@@ -42,7 +42,7 @@
   /** Complete response that is not an event stream. */
   | { readonly kind: 'answered'; readonly head: ResponseHead; readonly body: Buffer }
   /** Event stream that ended as its framing declares; all events were forwarded. */
-  | { readonly kind: 'streamed' }
+  | { readonly kind: 'streamed'; readonly head: ResponseHead }
   /** No byte of the request left this process. */
   | { readonly kind: 'not_sent'; readonly reason: string }
   /** The upstream reported that the request has not run. */
--- /dev/null
+++ b/test/failures/callerResponses.spec.ts
@@ -0,0 +1,54 @@
+import { expect } from 'chai';
+import type { Socket } from 'node:net';
+import type { RawRequest, RawWorker } from '../standins/rawWorker.js';
+import { formatHead, startRawWorker } from '../standins/rawWorker.js';
+import type { GatewayFixture } from '../support/gatewayFixture.js';
+import { startGatewayFixture } from '../support/gatewayFixture.js';
+import type { RawExchange } from '../support/rawCaller.js';
+import { formatRequest, RawCaller } from '../support/rawCaller.js';
+
+const EVENT_STREAM = 'Content-Type: text/event-stream';
+const CALLER_TIMEOUT_MS = 1_500;
+
+type Respond = (socket: Socket, request: RawRequest) => void;
+
+describe('responses as their callers receive them', () => {
+  let fixture: GatewayFixture;
+  let workers: RawWorker[];
+
+  /** Starts two workers that respond alike; `turn` is the number of requests that either received before. */
+  const start = async (
+    respond: (socket: Socket, request: RawRequest, turn: number) => void,
+  ): Promise<void> => {
+    let turn = 0;
+    const respondInTurn: Respond = (socket, request) => {
+      respond(socket, request, turn++);
+    };
+    workers = [
+      await startRawWorker('i-a', respondInTurn),
+      await startRawWorker('i-b', respondInTurn),
+    ];
+    fixture = await startGatewayFixture({ workers: 0, ownWorkers: workers });
+  };
+  const call = (path: string, body?: string): Promise<RawExchange> => {
+    const caller = new RawCaller(fixture.urls[0] ?? '');
+    caller.send(formatRequest(path, 'r-1', body));
+    return caller.waitForEnd(CALLER_TIMEOUT_MS);
+  };
+  afterEach(async () => {
+    await fixture.close();
+    for (const worker of workers) await worker.close();
+  });
+
+  // A stream without events, for example of a resumed request that had all of them, still has the upstream's head.
+  for (const framing of ['Content-Length: 0', 'Connection: close']) {
+    it(`guards against a success without the upstream's signature for a stream without events; ${framing}`, async () => {
+      await start((socket, { requestId }) => {
+        socket.end(formatHead(requestId, [EVENT_STREAM, framing]));
+      });
+      const { received } = await call('/chat/a', 'question');
+      expect(received).to.match(/^HTTP\/1.1 200 /);
+      expect(received.toLowerCase()).to.include('request-id: r-1\r\nserver-seal: seal.r-1\r\n');
+    });
+  }
+});
--- a/test/standins/httpServer.ts
+++ b/test/standins/httpServer.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Server as NetServer } from 'node:net';
 import { pathToFileURL } from 'node:url';
 
 export interface StandIn {
@@ -51,7 +51,7 @@
  * @param port - Port; 0 selects a free one
  * @returns The bound port
  */
-export function listenOnLoopback(server: Server, port: number): Promise<number> {
+export function listenOnLoopback(server: NetServer, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, '127.0.0.1', () => {
--- a/test/support/gatewayFixture.ts
+++ b/test/support/gatewayFixture.ts
@@ -12,6 +12,9 @@
 import { reservePorts } from './ports.js';
 import { waitUntil } from './waiting.js';
 
+/** Fields of a worker that its entry in the upstream list names. */
+export type PublishedWorker = Pick<WorkerStandIn, 'id' | 'port'>;
+
 export interface GatewayFixture {
   readonly store: StoreStandIn;
   /** One store per gateway with `separateStores`, otherwise one; all hold the same items. */
@@ -19,7 +22,7 @@
   readonly workers: WorkerStandIn[];
   readonly gateways: GatewayDaemon[];
   readonly urls: string[];
-  publishWorker(worker: WorkerStandIn, fields?: object): void;
+  publishWorker(worker: PublishedWorker, fields?: object): void;
   publishConfiguration(version: number, fields?: object): void;
   close(): Promise<void>;
 }
@@ -48,6 +51,8 @@
 export async function startGatewayFixture(
   options: {
     workers?: number;
+    /** Workers started by the test, published beside those that the fixture starts. */
+    ownWorkers?: readonly PublishedWorker[];
     gateways?: number;
     settings?: Partial<GatewaySettings>;
     separateStores?: boolean;
@@ -68,7 +73,7 @@
   for (let index = 0; index < (options.workers ?? 2); index += 1) {
     workers.push(await startPlatformWorker(`i-${index}`));
   }
-  const publishWorker = (worker: WorkerStandIn, fields: object = {}): void => {
+  const publishWorker = (worker: PublishedWorker, fields: object = {}): void => {
     putInAllStores(`servers/${worker.id}`, {
       service: 'assistant',
       address: `127.0.0.1:${worker.port}`,
@@ -107,7 +112,7 @@
     });
   };
   publishConfiguration(1);
-  for (const worker of workers) publishWorker(worker);
+  for (const worker of [...workers, ...(options.ownWorkers ?? [])]) publishWorker(worker);
   const ports = await reservePorts(count * 3);
   const seeds = ports.slice(0, count).map((port) => `127.0.0.1:${port}`);
   const gateways: GatewayDaemon[] = [];
