fix: end a stream whose resumption is answered without events

Callers of a stream whose first upstream broke off, and whose second answered with a complete response that is not an event stream (a 4xx, or a 200 of another type), received neither the rest nor an end; the log said 'answered'. Cause: sendResponse does nothing once a stream has begun, and the handler took the request for ended. Evidence: a raw TCP stand-in; the new test failed before with 404 and 200 (500 took another path and passed): AssertionError: expected 'open' to not equal 'open' Fix: such a response does not end the request. Another attempt may resume the stream; without one left, the request ends as exhausted, which aborts the stream visibly.

--- a/src/request/forwarding/attemptHandlers.ts
+++ b/src/request/forwarding/attemptHandlers.ts
@@ -22,6 +22,8 @@
 } = {
   answered: (forwarding, outcome, reservation) => {
     const { context, admitted, reply, fingerprint } = forwarding;
+    // A complete response cannot continue a stream that has begun; another upstream may still resume it.
+    if (reply.isStreaming) return undefined;
     const isFailure = outcome.head.status >= MIN_SERVER_ERROR_STATUS;
     if (isFailure && admitted.route.kind !== 'once') {
       forwarding.mayHaveRun = true;
--- a/test/failures/callerResponses.spec.ts
+++ b/test/failures/callerResponses.spec.ts
@@ -1,14 +1,19 @@
 import { expect } from 'chai';
 import type { Socket } from 'node:net';
+import { formatEvent } from '../standins/platformWorker.js';
 import type { RawRequest, RawWorker } from '../standins/rawWorker.js';
-import { formatHead, startRawWorker } from '../standins/rawWorker.js';
+import { formatChunk, formatHead, startRawWorker } from '../standins/rawWorker.js';
 import type { GatewayFixture } from '../support/gatewayFixture.js';
 import { startGatewayFixture } from '../support/gatewayFixture.js';
 import type { RawExchange } from '../support/rawCaller.js';
 import { formatRequest, RawCaller } from '../support/rawCaller.js';
 
 const EVENT_STREAM = 'Content-Type: text/event-stream';
+const CHUNKED = 'Transfer-Encoding: chunked';
+const LAST_CHUNK = '0\r\n\r\n';
 const CALLER_TIMEOUT_MS = 1_500;
+/** Time in which the gateway forwards bytes that an upstream has written. */
+const FORWARD_MS = 30;
 
 type Respond = (socket: Socket, request: RawRequest) => void;
 
@@ -51,4 +56,23 @@
       expect(received.toLowerCase()).to.include('request-id: r-1\r\nserver-seal: seal.r-1\r\n');
     });
   }
+
+  // A complete response of another kind cannot continue a stream, and the caller must not wait for its rest.
+  for (const status of ['404 Not Found', '200 OK', '500 Error']) {
+    it(`guards against a stream that never ends because its resumption has no events; ${status}`, async () => {
+      await start((socket, { requestId }, turn) => {
+        if (turn === 0) {
+          socket.write(
+            formatHead(requestId, [EVENT_STREAM, CHUNKED]) + formatChunk(formatEvent(1)),
+          );
+          setTimeout(() => socket.destroy(), FORWARD_MS);
+          return;
+        }
+        socket.end(`${formatHead(requestId, ['Content-Length: 6'], status)}failed`);
+      });
+      const { received, end } = await call('/chat/a', 'question');
+      expect(received).to.include(formatEvent(1)).and.not.include(LAST_CHUNK);
+      expect(end).to.not.equal('open');
+    });
+  }
 });
