fix: forward streams without a length without a last chunk

Cause: the gateway framed such a stream in chunks and wrote the last chunk at the end of the upstream's connection. Evidence: a raw TCP stand-in; all four new tests failed before, among them: AssertionError: expected '15\r\nid: 1\ndata: piece 1\n\n\r\n15\…' to equal 'id: 1\ndata: piece 1\n\nid: 2\ndata: …' AssertionError: expected 'closed' to equal 'reset' AssertionError: expected 'HTTP/1.1 200 OK\r\nrequest-id: r-1\r\…' to not include '0\r\n\r\n' Fix: such a stream is forwarded without a length and ends with the connection, so the caller learns what the gateway knows. An aborted one ends with a reset, because an orderly close would mark it as complete. A stream that began in chunks cannot express an end without proof, so it is aborted when the run that resumed it ends without a length.

--- a/src/request/forwarding/callerReply.ts
+++ b/src/request/forwarding/callerReply.ts
@@ -38,6 +38,11 @@
     return this.hasEnded;
   }
 
+  /** Whether the end of the connection marks the end of the body, as opposed to a length or a last chunk. */
+  get endsWithConnection(): boolean {
+    return !this.response.useChunkedEncodingByDefault;
+  }
+
   /**
    * Forwards a complete response.
    *
@@ -50,10 +55,7 @@
     if (head.isFramed) {
       this.writeHead(head, [['Content-Length', String(body.length)]]);
     } else {
-      // A body without a length may have been truncated; adding a length would mark it as complete.
-      this.response.useChunkedEncodingByDefault = false;
-      this.response.shouldKeepAlive = false;
-      this.writeHead(head, [['Connection', 'close']]);
+      this.writeUnframedHead(head);
     }
     this.response.end(body);
   }
@@ -66,7 +68,8 @@
   startStream(head: ResponseHead): void {
     if (this.hasEnded || this.hasSentHead) return;
     this.hasSentHead = true;
-    this.writeHead(head, []);
+    if (head.isFramed) this.writeHead(head, []);
+    else this.writeUnframedHead(head);
   }
 
   /**
@@ -89,6 +92,8 @@
   abortStream(): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
+    // An orderly close would mark the stream as complete if the connection is its only end.
+    if (this.endsWithConnection) this.response.socket?.resetAndDestroy();
     this.response.destroy();
   }
 
@@ -118,6 +123,13 @@
     this.response.end(body);
   }
 
+  /** A body without a length may have been truncated; a length or a last chunk would mark it as complete. */
+  private writeUnframedHead(head: ResponseHead): void {
+    this.response.useChunkedEncodingByDefault = false;
+    this.response.shouldKeepAlive = false;
+    this.writeHead(head, [['Connection', 'close']]);
+  }
+
   private writeHead(head: ResponseHead, extra: [string, string][]): void {
     const headers = [...head.headers, ...extra];
     const closesConnection = extra.some(([name]) => name === 'Connection');
--- a/test/failures/callerResponses.spec.ts
+++ b/test/failures/callerResponses.spec.ts
@@ -45,6 +45,59 @@
     for (const worker of workers) await worker.close();
   });
 
+  // An upstream that ends a stream without a length may have stopped early; the gateway must not mark it as complete.
+  it('guards against marking a stream received without a length as complete', async () => {
+    await start((socket, { requestId }) => {
+      socket.end(formatHead(requestId, [EVENT_STREAM]) + formatEvent(1) + formatEvent(2));
+    });
+    const { received, end } = await call('/chat/a', 'question');
+    expect(received.split('\r\n\r\n')[1]).to.equal(formatEvent(1) + formatEvent(2));
+    expect(received).to.not.match(/transfer-encoding|content-length/i);
+    expect(end).to.equal('closed');
+  });
+
+  // The end of the connection is the end of a body without a length, so a truncated one must end with a reset.
+  it('guards against a truncated stream without a length that ends in order', async () => {
+    await start((socket, { requestId }) => {
+      socket.write(formatHead(requestId, [EVENT_STREAM]) + formatEvent(1));
+      setTimeout(() => socket.resetAndDestroy(), FORWARD_MS);
+    });
+    const { received, end } = await call('/chat/a', 'question');
+    expect(received).to.include(formatEvent(1)).and.not.include(LAST_CHUNK);
+    expect(end).to.equal('reset');
+  });
+
+  // A run that resumes a chunked stream and ends without a length does not prove that the stream is complete.
+  it('guards against completing a chunked stream with a run that has no length', async () => {
+    await start((socket, { requestId, lastEventId }, turn) => {
+      if (turn === 0) {
+        socket.write(formatHead(requestId, [EVENT_STREAM, CHUNKED]) + formatChunk(formatEvent(1)));
+        setTimeout(() => socket.destroy(), FORWARD_MS);
+        return;
+      }
+      socket.end(formatHead(requestId, [EVENT_STREAM]) + formatEvent(lastEventId + 1));
+    });
+    const { received, end } = await call('/chat/a', 'question');
+    expect(received).to.include(formatEvent(2)).and.not.include(LAST_CHUNK);
+    expect(end).to.not.equal('open');
+  });
+
+  // A stream that starts without a length may be completed by a run of any framing.
+  it('guards against aborting a stream without a length that a chunked run completes', async () => {
+    await start((socket, { requestId, lastEventId }, turn) => {
+      if (turn === 0) {
+        socket.write(formatHead(requestId, [EVENT_STREAM]) + formatEvent(1));
+        setTimeout(() => socket.resetAndDestroy(), FORWARD_MS);
+        return;
+      }
+      const rest = formatChunk(formatEvent(lastEventId + 1)) + LAST_CHUNK;
+      socket.end(formatHead(requestId, [EVENT_STREAM, CHUNKED]) + rest);
+    });
+    const { received, end } = await call('/chat/a', 'question');
+    expect(received.split('\r\n\r\n')[1]).to.equal(formatEvent(1) + formatEvent(2));
+    expect(end).to.equal('closed');
+  });
+
   // A stream without events, for example of a resumed request that had all of them, still has the upstream's head.
   for (const framing of ['Content-Length: 0', 'Connection: close']) {
     it(`guards against a success without the upstream's signature for a stream without events; ${framing}`, async () => {
