fix: do not repeat a stream that may not be resumed after a failure response

Cause: after a failure response every kind but 'once' was repeated, although a stream that may not be resumed counts as one of these. A broken response already took this into account. Evidence: a raw TCP stand-in on a route that is not resumable; the new test failed before: AssertionError: expected [ { index: +0, …(3) }, …(1) ] to have a length of 1 but got 2 Fix: both handlers ask the same function whether a request that may have run may be sent again.

--- a/src/request/forwarding/attemptHandlers.ts
+++ b/src/request/forwarding/attemptHandlers.ts
@@ -21,11 +21,11 @@
   ) => FinalOutcome | undefined;
 } = {
   answered: (forwarding, outcome, reservation) => {
-    const { context, admitted, reply, fingerprint } = forwarding;
+    const { context, reply, fingerprint } = forwarding;
     // A complete response cannot continue a stream that has begun; another upstream may still resume it.
     if (reply.isStreaming) return undefined;
     const isFailure = outcome.head.status >= MIN_SERVER_ERROR_STATUS;
-    if (isFailure && admitted.route.kind !== 'once') {
+    if (isFailure && isRepeatAllowed(forwarding)) {
       forwarding.mayHaveRun = true;
       forwarding.failure = outcome;
       return undefined;
@@ -70,7 +70,7 @@
     return undefined;
   },
   broken: (forwarding, _outcome, reservation) => {
-    const { context, admitted, fingerprint } = forwarding;
+    const { context, fingerprint } = forwarding;
     const now = context.readClock();
     forwarding.mayHaveRun = true;
     context.balancer.recordFault(reservation.upstream.id, now);
@@ -81,9 +81,7 @@
     } else {
       void confirmCrash(context, reservation, fingerprint);
     }
-    const { kind, isResumable } = admitted.route;
-    const canRetry = kind === 'repeatable' || (kind === 'stream' && isResumable);
-    return canRetry ? undefined : endWithError(forwarding, 'broken');
+    return isRepeatAllowed(forwarding) ? undefined : endWithError(forwarding, 'broken');
   },
   aborted: (forwarding) => {
     forwarding.mayHaveRun = true;
@@ -91,6 +89,12 @@
   },
 };
 
+/** Whether a request that may have run may be sent to another upstream. */
+function isRepeatAllowed({ admitted }: Forwarding): boolean {
+  const { kind, isResumable } = admitted.route;
+  return kind === 'repeatable' || (kind === 'stream' && isResumable);
+}
+
 /** Records a crash if the upstream no longer accepts connections; a broken response alone does not prove one. */
 async function confirmCrash(
   context: ForwardingContext,
--- a/test/failures/callerResponses.spec.ts
+++ b/test/failures/callerResponses.spec.ts
@@ -128,4 +128,14 @@
       expect(end).to.not.equal('open');
     });
   }
+
+  // A stream that may not be resumed counts as run after a failure response, so a second run is not allowed.
+  it('guards against a second run of a stream that may not be resumed after a failure response', async () => {
+    await start((socket, { requestId }) => {
+      socket.end(`${formatHead(requestId, ['Content-Length: 6'], '500 Error')}failed`);
+    });
+    const { received } = await call('/talk/a', 'question');
+    expect(received).to.match(/^HTTP\/1.1 500 /);
+    expect(workers.flatMap(({ requests }) => requests)).to.have.length(1);
+  });
 });
--- a/test/support/gatewayFixture.ts
+++ b/test/support/gatewayFixture.ts
@@ -37,6 +37,7 @@
 
 const routes = [
   { name: 'chat', prefix: '/chat/', routeType: 'streaming', resumable: true, maxAttempts: 2 },
+  { name: 'talk', prefix: '/talk/', routeType: 'streaming', resumable: false, maxAttempts: 2 },
   { name: 'lookup', prefix: '/lookup/', routeType: 'idempotent', maxAttempts: 2 },
   { name: 'pay', prefix: '/pay/', routeType: 'non_idempotent', maxAttempts: 2 },
   { name: 'open', prefix: '/open/', routeType: 'idempotent', maxAttempts: 2, public: true },
