fix: do not join two runs of a stream on a route that cannot be resumed

Cause: such a request was repeated whether or not events had been forwarded, and the second run was taken for the continuation. Only a resumable stream may be continued by another run. Evidence: a raw TCP stand-in; the new test failed before: AssertionError: expected 'HTTP/1.1 200 OK\r\nrequest-id: r-1\r\…' to not include 'id: 2\ndata: piece 2\n\n' Fix: a repeatable request is sent again only while nothing of its response has been forwarded; afterwards the stream is aborted. No deployment is known to have such a route; the fault was found by reading.

--- a/src/request/forwarding/attemptHandlers.ts
+++ b/src/request/forwarding/attemptHandlers.ts
@@ -89,10 +89,11 @@
   },
 };
 
-/** Whether a request that may have run may be sent to another upstream. */
-function isRepeatAllowed({ admitted }: Forwarding): boolean {
+/** Whether a request that may have run may be sent to another upstream; a stream that has begun only if resumable. */
+function isRepeatAllowed({ admitted, reply }: Forwarding): boolean {
   const { kind, isResumable } = admitted.route;
-  return kind === 'repeatable' || (kind === 'stream' && isResumable);
+  if (kind === 'stream') return isResumable;
+  return kind === 'repeatable' && !reply.isStreaming;
 }
 
 /** Records a crash if the upstream no longer accepts connections; a broken response alone does not prove one. */
--- a/test/failures/callerResponses.spec.ts
+++ b/test/failures/callerResponses.spec.ts
@@ -138,4 +138,20 @@
     expect(received).to.match(/^HTTP\/1.1 500 /);
     expect(workers.flatMap(({ requests }) => requests)).to.have.length(1);
   });
+
+  // The runs of a request that may be repeated, but not resumed, must not be joined into one stream.
+  it('guards against joining two runs of a stream that may not be resumed', async () => {
+    await start((socket, { requestId }, turn) => {
+      socket.write(formatHead(requestId, [EVENT_STREAM, CHUNKED]));
+      if (turn > 0) {
+        socket.end(formatChunk(formatEvent(1) + formatEvent(2)) + LAST_CHUNK);
+        return;
+      }
+      socket.write(formatChunk(formatEvent(1)));
+      setTimeout(() => socket.destroy(), FORWARD_MS);
+    });
+    const { received, end } = await call('/lookup/a');
+    expect(received).to.include(formatEvent(1)).and.not.include(formatEvent(2));
+    expect(end).to.not.equal('open');
+  });
 });
