fix: recognize a reset that is read together with the body before it

Cause: libuv reports the end of the stream when a poll shows a hang-up and the read before it was partial, and never reads the pending error. Node then emits 'end' without 'error', and undici completes the body. The existing listener for 'error' saw nothing.

--- a/src/request/forwarding/upstreamExchange.ts
+++ b/src/request/forwarding/upstreamExchange.ts
@@ -105,6 +105,10 @@
       clearTimeout(timer);
       if (!isOpen) callback(error, null);
     });
+    // Node reports a reset that it reads together with earlier bytes as an orderly end; only then the peer is unknown.
+    socket.prependListener('end', () => {
+      if (socket.remoteAddress === undefined) this.hasReset = true;
+    });
     socket.once('connect', () => {
       clearTimeout(timer);
       isOpen = true;
--- a/test/failures/callerResponses.spec.ts
+++ b/test/failures/callerResponses.spec.ts
@@ -154,4 +154,26 @@
     expect(received).to.include(formatEvent(1)).and.not.include(formatEvent(2));
     expect(end).to.not.equal('open');
   });
+
+  // A reset that the gateway reads together with the body must not be taken for the orderly end of that body.
+  it('guards against a body without a length that a reset cuts while the gateway is busy or stopped', async () => {
+    await start((socket, { requestId }) => {
+      // Both are written before the gateway, in the same event loop, can read either.
+      socket.write(`${formatHead(requestId)}half of a bal`);
+      socket.resetAndDestroy();
+    });
+    const { received } = await call('/pay/a', 'question');
+    expect(received).to.match(/^HTTP\/1.1 502 /);
+  });
+
+  // The same holds for a stream, whose caller must see that it was cut.
+  it('guards against a stream without a length that a reset cuts while the gateway is busy or stopped', async () => {
+    await start((socket, { requestId }) => {
+      socket.write(formatHead(requestId, [EVENT_STREAM]) + formatEvent(1));
+      socket.resetAndDestroy();
+    });
+    const { received, end } = await call('/chat/a', 'question');
+    expect(received).to.include(formatEvent(1));
+    expect(end).to.equal('reset');
+  });
 });
--- a/test/support/rawCaller.ts
+++ b/test/support/rawCaller.ts
@@ -37,7 +37,8 @@
         resolve();
       };
       this.socket.once('end', () => {
-        finish('closed');
+        // Node reports a reset that it reads together with earlier bytes as an orderly end; only then the peer is unknown.
+        finish(this.socket.remoteAddress === undefined ? 'reset' : 'closed');
       });
       this.socket.once('error', () => {
         finish('reset');
