--- a/src/request/forwarding/attemptHandlers.ts
+++ b/src/request/forwarding/attemptHandlers.ts
@@ -21,9 +21,11 @@
   ) => FinalOutcome | undefined;
 } = {
   answered: (forwarding, outcome, reservation) => {
-    const { context, admitted, reply, fingerprint } = forwarding;
+    const { context, reply, fingerprint } = forwarding;
+    // A complete response cannot continue a stream that has begun; another upstream may still resume it.
+    if (reply.isStreaming) return undefined;
     const isFailure = outcome.head.status >= MIN_SERVER_ERROR_STATUS;
-    if (isFailure && admitted.route.kind !== 'once') {
+    if (isFailure && isRepeatAllowed(forwarding)) {
       forwarding.mayHaveRun = true;
       forwarding.failure = outcome;
       return undefined;
@@ -34,10 +36,15 @@
     reply.sendResponse(outcome.head, outcome.body);
     return 'answered';
   },
-  streamed: (forwarding, _outcome, reservation) => {
+  streamed: (forwarding, outcome, reservation) => {
     const { context, reply, fingerprint } = forwarding;
     context.balancer.recordSuccess(reservation.upstream.id);
     context.suspects.recordSuccess(fingerprint);
+    // The head is sent with the first event, so a stream without events has not sent it yet.
+    reply.startStream(outcome.head);
+    // The last chunk would mark as complete a stream that its upstream has not marked as complete.
+    if (!outcome.head.isFramed && !reply.endsWithConnection)
+      return endWithError(forwarding, 'broken');
     reply.endStream();
     return 'streamed';
   },
@@ -63,7 +70,7 @@
     return undefined;
   },
   broken: (forwarding, _outcome, reservation) => {
-    const { context, admitted, fingerprint } = forwarding;
+    const { context, fingerprint } = forwarding;
     const now = context.readClock();
     forwarding.mayHaveRun = true;
     context.balancer.recordFault(reservation.upstream.id, now);
@@ -74,9 +81,7 @@
     } else {
       void confirmCrash(context, reservation, fingerprint);
     }
-    const { kind, isResumable } = admitted.route;
-    const canRetry = kind === 'repeatable' || (kind === 'stream' && isResumable);
-    return canRetry ? undefined : endWithError(forwarding, 'broken');
+    return isRepeatAllowed(forwarding) ? undefined : endWithError(forwarding, 'broken');
   },
   aborted: (forwarding) => {
     forwarding.mayHaveRun = true;
@@ -84,6 +89,13 @@
   },
 };
 
+/** Whether a request that may have run may be sent to another upstream; a stream that has begun only if resumable. */
+function isRepeatAllowed({ admitted, reply }: Forwarding): boolean {
+  const { kind, isResumable } = admitted.route;
+  if (kind === 'stream') return isResumable;
+  return kind === 'repeatable' && !reply.isStreaming;
+}
+
 /** Records a crash if the upstream no longer accepts connections; a broken response alone does not prove one. */
 async function confirmCrash(
   context: ForwardingContext,
