fix: read a value again when a restored store reuses its revision

Callers got the routes and keys of a lost configuration for good: a store that comes back from an older copy assigns its revisions again, and the gateway and the ranker took an equal revision for an unchanged value.

A store without the header has era 0 and behaves as before. The stand-in store can be restored.

--- a/src/process/gateway/storePolling.ts
+++ b/src/process/gateway/storePolling.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../logging.js';
 import type { Metrics } from '../metrics.js';
 import type { ConfigurationCache } from './configurationCache.js';
-import type { ConfigurationSource, ReadError } from './types.js';
+import type { ConfigurationPosition, ConfigurationSource, ReadError } from './types.js';
 import type { UpstreamDirectory } from './upstreamDirectory.js';
 
 /** Three reads fit into the 2 s within which a change must be in force, so one of them may fail. */
@@ -40,16 +40,16 @@
 export async function maintainConfiguration(options: PollingOptions): Promise<void> {
   const { source, configurationCache, logger, metrics, signal, readClock: readClock } = options;
   const dependency = new DependencyStatusLog('configuration', logger, metrics);
-  let revision: number | undefined;
+  let known: ConfigurationPosition | undefined;
   while (!signal.aborted) {
     const readStartedAt = readClock();
-    const read = await source.readConfiguration(revision);
+    const read = await source.readConfiguration(known);
     if (read.isErr()) {
       dependency.recordFailure(read.error);
       await options.queryPeers();
     } else {
       dependency.recordSuccess();
-      revision = read.value.revision;
+      known = read.value;
       const { configuration, document } = read.value;
       if (configuration === undefined)
         configurationCache.revalidate(configurationCache.version, readStartedAt);
--- a/src/process/gateway/types.ts
+++ b/src/process/gateway/types.ts
@@ -10,9 +10,9 @@
 
 /** Reads the configuration that the operator publishes and the entries that upstreams register. */
 export interface ConfigurationSource {
-  /** Reads the newest configuration; it is not decoded again while its revision is `knownRevision`. */
+  /** Reads the newest configuration; it is not decoded again while its era and revision are those of `known`. */
   readConfiguration(
-    knownRevision: number | undefined,
+    known: ConfigurationPosition | undefined,
   ): Promise<Result<ConfigurationRead, ReadError>>;
   readUpstreams(): Promise<Result<UpstreamListing, ReadError>>;
   /** Decodes the text of a configuration that a peer has read from the store. */
@@ -20,15 +20,23 @@
   close(): void;
 }
 
-export interface ConfigurationRead {
+/** Identifies a stored value. A restored store assigns revisions again, so a revision is unique only within an era. */
+export interface ConfigurationPosition {
+  /** Rises each time the store is restored from an older copy; 0 if the store does not report it. */
+  readonly era: number;
   readonly revision: number;
-  /** Undefined when the revision equals `knownRevision`. */
+}
+
+export interface ConfigurationRead extends ConfigurationPosition {
+  /** Undefined when era and revision equal those of `known`. */
   readonly configuration?: RoutingConfiguration | undefined;
   /** Configuration text as published, to relay to peers that cannot reach the store. */
   readonly document?: string | undefined;
 }
 
 export interface UpstreamListing {
+  /** Rises each time the store is restored from an older copy; 0 if the store does not report it. */
+  readonly era: number;
   readonly upstreams: readonly UpstreamEntry[];
   /** Number of entries that could not be decoded into a usable upstream. */
   readonly unreadable: number;
--- a/src/process/ranker/rankerDaemon.ts
+++ b/src/process/ranker/rankerDaemon.ts
@@ -6,7 +6,7 @@
 import type { Hello, PeerLink } from '../../connection/peerLink.js';
 import { defaults } from '../../defaults.js';
 import type { MessageOf } from '../../protocol/messages.js';
-import type { ConfigurationSource } from '../gateway/types.js';
+import type { ConfigurationPosition, ConfigurationSource } from '../gateway/types.js';
 import type { Logger } from '../logging.js';
 import { Metrics } from '../metrics.js';
 import { startMetricsServer } from '../metricsServer.js';
@@ -259,11 +259,11 @@
   /** Refreshes the expert layout and connects to the rankers of the group. */
   private async refreshConfiguration(): Promise<void> {
     const { source, logger } = this.dependencies;
-    let revision: number | undefined;
+    let known: ConfigurationPosition | undefined;
     while (!this.stopController.signal.aborted) {
-      const configuration = await source.readConfiguration(revision);
+      const configuration = await source.readConfiguration(known);
       if (configuration.isOk()) {
-        revision = configuration.value.revision;
+        known = configuration.value;
         const service = [...(configuration.value.configuration?.services.values() ?? [])].find(
           ({ id }) => id === this.settings.service,
         );
--- a/test/standins/platformStore.ts
+++ b/test/standins/platformStore.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from 'node:http';
 import type { StandIn } from './httpServer.js';
 import { createRouteServer, listenOnLoopback } from './httpServer.js';
 
@@ -7,6 +8,12 @@
 export interface StoreStandIn extends StandIn {
   mode: StoreMode;
   calls: number;
+  /** Value of the era header; undefined for a store that does not send it. */
+  era: number | undefined;
+  /** Copies all items and the revision counter. */
+  takeCopy(): void;
+  /** Returns to the last copy; the era rises, and the revisions since the copy are assigned again. */
+  restoreCopy(): void;
   put(key: string, value: unknown): void;
   putBytes(key: string, bytes: Buffer): void;
   remove(key: string): void;
@@ -28,7 +35,12 @@
 export async function startPlatformStore(): Promise<StoreStandIn> {
   const items = new Map<string, Item>();
   let revision = 1;
-  const state: { mode: StoreMode; calls: number } = { mode: 'serving', calls: 0 };
+  const state: Pick<StoreStandIn, 'mode' | 'calls' | 'era'> = {
+    mode: 'serving',
+    calls: 0,
+    era: undefined,
+  };
+  let copy: { revision: number; items: [string, Item][] } = { revision, items: [] };
   const server = createRouteServer({
     'GET /kv-key': ({ query, response }) => {
       state.calls += 1;
@@ -46,7 +58,8 @@
       return { items: listed, truncated: false, storeRevision: revision };
     },
   });
-  function refuse(response: { writeHead(status: number): { end(): unknown } }): boolean {
+  function refuse(response: ServerResponse): boolean {
+    if (state.era !== undefined) response.setHeader('Store-Era', state.era);
     if (state.mode === 'busy') response.writeHead(503).end();
     return state.mode !== 'serving';
   }
@@ -59,6 +72,15 @@
   return Object.assign(state, {
     port,
     url: `http://127.0.0.1:${port}`,
+    takeCopy: () => {
+      copy = { revision, items: [...items] };
+    },
+    restoreCopy: () => {
+      items.clear();
+      for (const [key, item] of copy.items) items.set(key, item);
+      revision = copy.revision;
+      state.era = (state.era ?? 0) + 1;
+    },
     putBytes,
     put: (key: string, value: unknown) => {
       putBytes(key, Buffer.from(JSON.stringify(value)));
--- a/test/support/gatewayFixture.ts
+++ b/test/support/gatewayFixture.ts
@@ -21,6 +21,8 @@
   readonly urls: string[];
   publishWorker(worker: WorkerStandIn, fields?: object): void;
   publishConfiguration(version: number, fields?: object): void;
+  /** Starts the next gateway when `started` has left some out; resolves without waiting until it is ready. */
+  startNextGateway(): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -51,6 +53,10 @@
     gateways?: number;
     settings?: Partial<GatewaySettings>;
     separateStores?: boolean;
+    /** Number of gateways that are started at once, all by default. */
+    started?: number;
+    /** Initial value of the era header of the stores, which they do not send by default. */
+    era?: number;
     /** Called when a gateway listens but has not yet read the store. */
     onListening?: (url: string, store: StoreStandIn) => void;
   } = {},
@@ -64,6 +70,7 @@
   const putInAllStores = (key: string, value: unknown): void => {
     for (const target of stores) target.put(key, value);
   };
+  for (const target of stores) target.era = options.era;
   const workers: WorkerStandIn[] = [];
   for (let index = 0; index < (options.workers ?? 2); index += 1) {
     workers.push(await startPlatformWorker(`i-${index}`));
@@ -112,7 +119,8 @@
   const seeds = ports.slice(0, count).map((port) => `127.0.0.1:${port}`);
   const gateways: GatewayDaemon[] = [];
   const urls: string[] = [];
-  for (let index = 0; index < count; index += 1) {
+  const startNextGateway = async (): Promise<number> => {
+    const index = gateways.length;
     const [linkPort = 0, frontPort = 0, readyPort = 0] = [
       index,
       count + index,
@@ -146,7 +154,10 @@
     options.onListening?.(`http://127.0.0.1:${frontPort}`, store);
     gateways.push(daemon);
     urls.push(`http://127.0.0.1:${frontPort}`);
-    const readyUrl = `http://127.0.0.1:${readyPort}/ready`;
+    return readyPort;
+  };
+  for (let index = 0; index < (options.started ?? count); index += 1) {
+    const readyUrl = `http://127.0.0.1:${await startNextGateway()}/ready`;
     await waitUntil('gateway ready', async () => (await request(readyUrl)).statusCode === 200);
   }
   return {
@@ -157,6 +168,9 @@
     urls,
     publishWorker,
     publishConfiguration,
+    startNextGateway: async () => {
+      await startNextGateway();
+    },
     close: async () => {
       for (const gateway of gateways) gateway.stop();
       for (const worker of workers) await worker.close();
