fix: keep upstreams that registered since the copy, and leave out those that left

When the store came back from an older copy, callers were refused because upstreams that had registered since the copy were missing from the list and dropped at once. Requests also went to upstreams that had left, because the copy still listed them, and an entry of an earlier start replaced the running one.

The directory treats the first listing of a new era like the first one after an outage: what is missing is retained for 2.2 s, draining entries included, so that they are not taken for active ones afterwards. It remembers removals with the heartbeat counter of the entry (`seq`, now decoded); an entry of the same start is used again only when its counter is higher. Listings are ordered by era first, so that a peer's listing from before the restore never replaces a later one. The grace period uses the monotonic clock. Retained entries are no longer logged for each reply of a peer.

--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -267,10 +267,11 @@
       ...(held !== undefined && this.configurationCache.version > version
         ? { document: held.document }
         : {}),
-      ...(Number.isFinite(listingAgeMs) ? { listingAgeMs } : {}),
-      upstreams: this.directory.listAll().map(({ startedAt, ...entry }) => ({
+      ...(Number.isFinite(listingAgeMs) ? { listingAgeMs, listingEra: this.directory.era } : {}),
+      upstreams: this.directory.listAll().map(({ startedAt, heartbeat, ...entry }) => ({
         ...entry,
         ...(startedAt === undefined ? {} : { startedAt }),
+        ...(heartbeat === undefined ? {} : { heartbeat }),
       })),
     };
   }
@@ -306,10 +307,12 @@
     const changes = this.directory.applyListing(
       upstreams,
       queriedAt - listingAgeMs,
-      this.readClock(),
+      performance.now(),
+      snapshot.listingEra,
     );
     for (const { upstream, change } of changes) {
-      logger.info({ upstream, change }, 'upstream list of a peer taken over');
+      if (change !== 'held')
+        logger.info({ upstream, change }, 'upstream list of a peer taken over');
     }
   }
 
--- a/src/process/gateway/storePolling.ts
+++ b/src/process/gateway/storePolling.ts
@@ -123,7 +123,7 @@
  * @param options - Store, directory and listeners
  */
 export async function maintainUpstreams(options: PollingOptions): Promise<void> {
-  const { source, directory, logger, metrics, signal, readClock } = options;
+  const { source, directory, logger, metrics, signal, readClock, readMonotonicClock } = options;
   const dependency = new DependencyStatusLog('upstream list', logger, metrics);
   let unreadable = 0;
   while (!signal.aborted) {
@@ -133,7 +133,8 @@
       dependency.recordFailure(read.error);
     } else {
       dependency.recordSuccess();
-      const changes = directory.applyListing(read.value.upstreams, readStartedAt, readClock());
+      const { upstreams, era } = read.value;
+      const changes = directory.applyListing(upstreams, readStartedAt, readMonotonicClock(), era);
       for (const { upstream, change } of changes) {
         if (change === 'added' || change === 'restarted') options.onUpstreamStarted(upstream);
         if (change !== 'held') logger.info({ upstream, change }, 'upstream list changed');
--- a/src/process/gateway/upstreamDirectory.spec.ts
+++ b/src/process/gateway/upstreamDirectory.spec.ts
@@ -85,4 +85,69 @@
     directory.markReplaced(forged);
     expect(listIds(directory)).to.deep.equal(['a']);
   });
+
+  // Guards against requests refused for lack of upstreams whose entries the restored copy does not hold.
+  it('guards against upstreams without work because a restored store lacks their entries', () => {
+    const directory = new UpstreamDirectory();
+    const later = createEntry('b', { address: '10.0.0.2:80' });
+    directory.applyListing([createEntry('a'), later], 0, 5, 1);
+    for (const at of [650, 1300, 1950, 2600]) {
+      directory.applyListing([createEntry('a')], at, at + 5, 2);
+      expect(listIds(directory)).to.deep.equal(['a', 'b']);
+    }
+    directory.applyListing([createEntry('a')], 3250, 3255, 2);
+    expect(listIds(directory)).to.deep.equal(['a']);
+  });
+
+  // Guards against requests sent to a process that has left, whose entry the restored copy still holds.
+  it('guards against work for an upstream that left before the store was restored from an older copy', () => {
+    const directory = new UpstreamDirectory();
+    directory.applyListing([createEntry('a', { heartbeat: 7 })], 0, 5, 1);
+    directory.applyListing([], 650, 655, 1);
+    for (const at of [1300, 1950, 9000]) {
+      directory.applyListing([createEntry('a', { heartbeat: 6 })], at, at + 5, 2);
+      expect(listIds(directory)).to.deep.equal([]);
+    }
+    directory.applyListing([createEntry('a', { heartbeat: 8 })], 9650, 9655, 2);
+    expect(listIds(directory)).to.deep.equal(['a']);
+  });
+
+  // Guards against requests sent to a draining process, whose entry in the restored copy is still active.
+  it('guards against work for an upstream that was draining before the store was restored', () => {
+    const directory = new UpstreamDirectory();
+    const draining = createEntry('a', { isDraining: true, heartbeat: 7 });
+    directory.applyListing([draining], 0, 5, 1);
+    directory.applyListing([], 650, 655, 2);
+    directory.applyListing([createEntry('a', { heartbeat: 6 })], 1300, 1305, 2);
+    expect(listIds(directory)).to.deep.equal([]);
+    directory.applyListing([], 2900, 2905, 2);
+    directory.applyListing([createEntry('a', { heartbeat: 6 })], 3550, 3555, 3);
+    expect(listIds(directory)).to.deep.equal([]);
+  });
+
+  // Guards against an entry of an earlier start in the restored copy that hides the running process.
+  it('guards against an earlier start that replaces the running one when the store is restored', () => {
+    const directory = new UpstreamDirectory();
+    const running = createEntry('a', { startedAt: 5, address: '10.0.0.2:80' });
+    directory.applyListing([running], 0, 5, 1);
+    directory.applyListing([createEntry('a', { heartbeat: 90 })], 650, 655, 2);
+    expect(directory.findEntry(toId<UpstreamId>('a'))?.address).to.equal('10.0.0.2:80');
+  });
+
+  // Guards against a list from before the restore that a peer read a little later than this process its own.
+  it('guards against a listing of an older era that replaces a newer one by its age', () => {
+    const directory = new UpstreamDirectory();
+    directory.applyListing([createEntry('a')], 1000, 1005, 2);
+    directory.applyListing([createEntry('b')], 1100, 1200, 1);
+    expect(listIds(directory)).to.deep.equal(['a']);
+  });
+
+  // Guards against an upstream without work because its heartbeats begin anew and its entry states no start.
+  it('guards against a restarted upstream that is taken for a removed one', () => {
+    const directory = new UpstreamDirectory();
+    directory.applyListing([createEntry('a', { startedAt: undefined, heartbeat: 7 })], 0, 5);
+    directory.applyListing([], 650, 655);
+    directory.applyListing([createEntry('a', { startedAt: undefined, heartbeat: 1 })], 1300, 1305);
+    expect(listIds(directory)).to.deep.equal(['a']);
+  });
 });
--- a/src/process/gateway/upstreamDirectory.ts
+++ b/src/process/gateway/upstreamDirectory.ts
@@ -5,6 +5,8 @@
 const OUTAGE_GAP_MS = 1_600;
 /** Entries that expired during an outage are registered again about 2 s after its end. */
 const EXPIRY_GRACE_MS = 2_200;
+/** Removals that are remembered; upstreams that left since the last copy of the store are far fewer. */
+const MAX_REMOVALS = 1_000;
 
 export interface DirectoryChange {
   readonly upstream: UpstreamId;
@@ -12,12 +14,21 @@
   readonly change: 'added' | 'draining' | 'removed' | 'held' | 'restarted';
 }
 
+/** An entry that was removed, and the era of the listing that lacked it. */
+interface Removal {
+  readonly entry: UpstreamEntry;
+  readonly era: number;
+}
+
 /**
  * The upstreams registered in the store, and which of them may get new work.
  *
  * - A listed upstream that has been seen draining stays draining until it restarts, also when a stale read lists it as
  *   active.
  * - Entries that expire during an outage of the store are retained until shortly after it is back.
+ * - A store that was restored from an older copy lists upstreams that have left since, and lacks those that registered
+ *   since. The former stay out until their heartbeat or start shows that they have registered again; the latter are
+ *   retained as after an outage.
  * - An address belongs to one process: of several entries with the same address only the most recently started gets
  *   work, and an entry gets none once another upstream has responded at its address.
  */
@@ -28,6 +39,10 @@
   private readonly byService = new Map<ServiceId, UpstreamEntry[]>();
   private lastReadAt: number | undefined;
   private retainUntil = -Infinity;
+  private restoreGraceUntil = -Infinity;
+  /** Era of the last applied listing; 0 for a store that does not report it. */
+  era = 0;
+  private readonly removals = new Map<UpstreamId, Removal>();
 
   /**
    * Lists the upstreams of a service that may get new work.
@@ -79,30 +94,41 @@
   }
 
   /**
-   * Applies a complete listing; one that is older than the last applied is ignored.
+   * Applies a complete listing; one of an older era, or older than the last applied of the same era, is ignored.
    *
    * @param listed - All decoded entries
    * @param readStartedAt - When the read was sent, milliseconds
-   * @param now - Current time in milliseconds
+   * @param now - Current time on the monotonic clock, in milliseconds
+   * @param era - Era of the store; rises each time it is restored from an older copy
    * @returns Changes since the previous listing
    */
   applyListing(
     listed: readonly UpstreamEntry[],
     readStartedAt: number,
     now: number,
+    era = 0,
   ): DirectoryChange[] {
     // A listing received from a peer may be older than the last one applied.
-    if (this.lastReadAt !== undefined && readStartedAt < this.lastReadAt) return [];
-    const gapMs = this.lastReadAt === undefined ? 0 : readStartedAt - this.lastReadAt;
-    if (gapMs > OUTAGE_GAP_MS) this.retainUntil = now + EXPIRY_GRACE_MS;
+    if (this.lastReadAt !== undefined) {
+      if (era < this.era || (era === this.era && readStartedAt < this.lastReadAt)) return [];
+      const isOutage = readStartedAt - this.lastReadAt > OUTAGE_GAP_MS;
+      if (isOutage || era > this.era) this.retainUntil = now + EXPIRY_GRACE_MS;
+      if (era > this.era) this.restoreGraceUntil = now + EXPIRY_GRACE_MS;
+    }
     this.lastReadAt = readStartedAt;
+    this.era = era;
     const changes: DirectoryChange[] = [];
     const next = new Map<UpstreamId, UpstreamEntry>();
-    for (const entry of listed) next.set(entry.id, this.mergeEntry(entry, changes));
+    for (const entry of listed) {
+      if (this.isOutdated(entry, now)) continue;
+      next.set(entry.id, this.mergeEntry(entry, changes));
+    }
     for (const [id, entry] of this.entries) {
       if (next.has(id)) continue;
-      const isRetained = now < this.retainUntil && !entry.isDraining;
+      const isRetained =
+        now < this.restoreGraceUntil || (now < this.retainUntil && !entry.isDraining);
       if (isRetained) next.set(id, entry);
+      else this.recordRemoval(entry);
       changes.push({ upstream: id, change: isRetained ? 'held' : 'removed' });
     }
     this.entries = next;
@@ -123,14 +149,45 @@
   private mergeEntry(entry: UpstreamEntry, changes: DirectoryChange[]): UpstreamEntry {
     const previous = this.entries.get(entry.id);
     if (previous === undefined) {
+      this.removals.delete(entry.id);
       changes.push({ upstream: entry.id, change: 'added' });
       return entry;
     }
     const isRestarted = (entry.startedAt ?? 0) > (previous.startedAt ?? 0);
     if (isRestarted) changes.push({ upstream: entry.id, change: 'restarted' });
-    if (previous.isDraining && !isRestarted) return { ...entry, isDraining: true };
+    if (previous.isDraining && !isRestarted)
+      return { ...createMerged(entry, previous), isDraining: true };
     if (entry.isDraining) changes.push({ upstream: entry.id, change: 'draining' });
-    return entry;
+    return isRestarted ? entry : createMerged(entry, previous);
+  }
+
+  /** A restored store may list an upstream that has left since, or an earlier start of it. */
+  private isOutdated(entry: UpstreamEntry, now: number): boolean {
+    const held = this.entries.get(entry.id);
+    if (held !== undefined) {
+      return now < this.restoreGraceUntil && (entry.startedAt ?? 0) < (held.startedAt ?? 0);
+    }
+    const removal = this.removals.get(entry.id);
+    if (removal === undefined) return false;
+    const { startedAt, heartbeat = 0 } = removal.entry;
+    const listedHeartbeat = entry.heartbeat ?? 0;
+    const isOlderEra = removal.era < this.era;
+    if (startedAt === undefined || entry.startedAt === undefined) {
+      // Heartbeats begin anew with each start, so without its time a restarted upstream may look outdated.
+      return isOlderEra && now < this.restoreGraceUntil && listedHeartbeat <= heartbeat;
+    }
+    if (entry.startedAt !== startedAt) return isOlderEra && entry.startedAt < startedAt;
+    // Within one era, an entry with an equal heartbeat was removed and registered again.
+    return isOlderEra ? listedHeartbeat <= heartbeat : listedHeartbeat < heartbeat;
+  }
+
+  private recordRemoval(entry: UpstreamEntry): void {
+    this.removals.delete(entry.id);
+    this.removals.set(entry.id, { entry, era: this.era });
+    for (const oldest of this.removals.keys()) {
+      if (this.removals.size <= MAX_REMOVALS) return;
+      this.removals.delete(oldest);
+    }
   }
 
   private indexByService(): void {
@@ -161,3 +218,9 @@
     return replacedEntry?.address === address && replacedEntry.startedAt === startedAt;
   }
 }
+
+/** Keeps the highest heartbeat, because a restored store may list an earlier one. */
+function createMerged(entry: UpstreamEntry, previous: UpstreamEntry): UpstreamEntry {
+  if ((previous.heartbeat ?? 0) <= (entry.heartbeat ?? 0)) return entry;
+  return { ...entry, heartbeat: previous.heartbeat };
+}
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -209,6 +209,8 @@
   era: count.optional(),
   /** What the store lost when that era began has been written again, so reads are complete. */
   isEraComplete: z.boolean().optional(),
+  /** Era of the store in which the listing was read. */
+  listingEra: count.optional(),
   upstreams: z.array(
     z.object({
       id,
@@ -218,6 +220,7 @@
       slots: count,
       isDraining: z.boolean(),
       startedAt: count.optional(),
+      heartbeat: count.optional(),
     }),
   ),
 });
--- a/src/version/routing/types.ts
+++ b/src/version/routing/types.ts
@@ -104,4 +104,6 @@
   readonly isDraining: boolean;
   /** Process start time in Unix milliseconds; detects restarts under the same id. */
   readonly startedAt?: number | undefined;
+  /** Number of registrations since the start; rises each time that the upstream writes its entry. */
+  readonly heartbeat?: number | undefined;
 }
--- a/test/failures/restoredStore.spec.ts
+++ b/test/failures/restoredStore.spec.ts
@@ -111,4 +111,39 @@
     expect([...statuses]).not.to.include(200);
     expect(describeGateway(2).configurationVersion).to.equal(2);
   });
+
+  // Guards against an outage at a restore because the upstreams registered after the copy was taken.
+  it('guards against refused requests while upstreams that the copy lacks register again', async () => {
+    fixture = await startGatewayFixture({ era: 1, workers: 1 });
+    const [worker] = fixture.workers;
+    fixture.store.remove(`servers/${worker!.id}`);
+    fixture.store.takeCopy();
+    fixture.publishWorker(worker!);
+    await waitUntil('served', async () => (await callWithKey('key-1')) === 200);
+    fixture.store.restoreCopy();
+    const startedAt = performance.now();
+    while (performance.now() < startedAt + 1800) {
+      expect(await callWithKey('key-1')).to.equal(200);
+      await waitMs(50);
+    }
+  });
+
+  // Guards against requests sent to a process that has left, whose entry the copy still holds.
+  it('guards against work for an upstream that the copy lists although it has left', async () => {
+    fixture = await startGatewayFixture({ era: 1 });
+    const [left] = fixture.workers;
+    fixture.store.takeCopy();
+    fixture.store.remove(`servers/${left!.id}`);
+    await waitMs(READ_MS);
+    fixture.store.restoreCopy();
+    await waitMs(READ_MS);
+    const before = left!.receivedRequests.length;
+    for (let index = 0; index < 10; index += 1) await callWithKey('key-1');
+    expect(left!.receivedRequests.length).to.equal(before);
+    fixture.publishWorker(left!, { seq: 9 });
+    await waitUntil('the upstream is used again', async () => {
+      await callWithKey('key-1');
+      return left!.receivedRequests.length > before;
+    });
+  });
 });
