fix: remove expired buckets of the repeat budget after idle time

After a pause without traffic a service could get more repeats than its window allows: the loop removed expired buckets only up to the first one that was not expired, so that none were removed when all were, and their first sends still raised the allowance of the next repeat. The expired buckets are now counted first and then removed.

--- a/src/request/retry/slidingWindowBudget.spec.ts
+++ b/src/request/retry/slidingWindowBudget.spec.ts
@@ -32,4 +32,12 @@
     budget.recordFirstSend(0);
     expect(budget.tryTakeRepeat(1)).to.equal(true);
   });
+
+  // Guards against more repeats than allowed, because requests from before an idle time still count.
+  it('guards against a budget that still counts expired sends after idle time', () => {
+    const budget = new SlidingWindowBudget(WINDOW_MS, RATIO, 0);
+    for (let count = 0; count < 100; count += 1) budget.recordFirstSend(0);
+    expect(budget.tryTakeRepeat(1)).to.equal(true);
+    expect(budget.tryTakeRepeat(3 * WINDOW_MS)).to.equal(false);
+  });
 });
--- a/src/request/retry/slidingWindowBudget.ts
+++ b/src/request/retry/slidingWindowBudget.ts
@@ -53,11 +53,12 @@
   }
 
   private getCurrentBucket(now: number): SendBucket {
-    for (const [index, sends] of this.buckets.entries()) {
-      if (sends.at < now - this.windowMs) continue;
-      if (index > 0) this.buckets.splice(0, index);
-      break;
+    let expired = 0;
+    for (const { at } of this.buckets) {
+      if (at >= now - this.windowMs) break;
+      expired += 1;
     }
+    this.buckets.splice(0, expired);
     const last = this.buckets.at(-1);
     if (last !== undefined && now - last.at < BUCKET_WIDTH_MS) return last;
     const opened = { at: now, firstSends: 0, repeats: 0 };
