fix: refuse a request whose caller has left before it is queued

A request could wait in the admission queue until its deadline, and be sent to an upstream, although its caller had left: an aborted signal emits no further event, and only the event removed the request. The signal is now checked first.

--- a/src/request/admission/admission.spec.ts
+++ b/src/request/admission/admission.spec.ts
@@ -156,6 +156,19 @@
   });
 });
 
+describe('admission queue for a caller that has left', () => {
+  // Guards against a request that waits for its deadline and is sent although its caller left before it was queued.
+  it('guards against a request with an aborted signal that stays queued', async () => {
+    const balancer = createBalancer();
+    while (balancer.tryReserve(createRequest(), 0) !== undefined);
+    const queue = new AdmissionQueue(service, balancer);
+    const result = queue.acquire(createRequest(), 0, AbortSignal.abort());
+    expect(queue.length).to.equal(0);
+    const ended = await result;
+    expect(ended.isErr() && ended.error.code).to.equal('expired');
+  });
+});
+
 describe('admission queue while all groups of a service re-form', () => {
   const failAll = (balancer: UpstreamBalancer, now: number): void => {
     for (const { id } of upstreams) balancer.health.recordFailure(id, now);
--- a/src/request/admission/admissionQueue.ts
+++ b/src/request/admission/admissionQueue.ts
@@ -59,6 +59,8 @@
     now: number,
     signal: AbortSignal,
   ): Promise<Result<Reservation, Refusal>> | Result<Reservation, Refusal> {
+    // An aborted signal emits no further event that would remove the request from the queue.
+    if (signal.aborted) return Err(this.createRefusal('expired', 0, 0));
     if (!this.balancer.hasUpstream(request)) {
       return Err(this.createRefusal('no_upstream', 0, MIN_RETRY_AFTER_MS * 2));
     }
