--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -205,6 +205,12 @@
   proofAgeMs: z.number().nonnegative().optional(),
   document: z.string().optional(),
   listingAgeMs: z.number().nonnegative().optional(),
+  /** Newest era of the store known to the sender; omitted if it knows none. */
+  era: count.optional(),
+  /** What the store lost when that era began has been written again, so reads are complete. */
+  isEraComplete: z.boolean().optional(),
+  /** Era of the store in which the listing was read. */
+  listingEra: count.optional(),
   upstreams: z.array(
     z.object({
       id,
@@ -214,6 +220,7 @@
       slots: count,
       isDraining: z.boolean(),
       startedAt: count.optional(),
+      heartbeat: count.optional(),
     }),
   ),
 });
