ranker: time of the parts of a map change

The line 'expert map changed' now has the time of each step, the estimated wait of the group, the slowest order, the time of the plan and of a pass, and the skew of the demand after the change; the metrics count plans and received bytes.

--- a/src/connection/peerLink.ts
+++ b/src/connection/peerLink.ts
@@ -17,6 +17,8 @@
   readonly heartbeatIntervalMs?: number;
   readonly heartbeatTimeoutMs?: number;
   readonly heartbeatCheckMs?: number;
+  /** Called with the number of bytes of each read from the socket. */
+  readonly onBytesReceived?: (bytes: number) => void;
 }
 
 /** Why a link was closed. */
@@ -146,6 +148,7 @@
     }
     this.lastReceivedAt = now;
     this.counters.bytesReceived += data.length;
+    this.options.onBytesReceived?.(data.length);
     const read = this.reader.readMessages(data);
     if (read.isErr()) {
       this.destroy('protocol_error');
--- a/src/process/ranker/changeMap.ts
+++ b/src/process/ranker/changeMap.ts
@@ -1,3 +1,4 @@
+import type { ChangeTimer } from './changeTimer.js';
 import type { GroupView, RankState } from './groupView.js';
 import type { OrderOutcome, RankOrder, RankReport } from './types.js';
 
@@ -35,6 +36,8 @@
   firstUnusedPass: number;
   /** Time at which an order last remained unanswered. */
   lastUnansweredOrderAt: number;
+  /** Measures the change in progress. */
+  timer?: ChangeTimer | undefined;
 }
 
 /**
@@ -58,8 +61,10 @@
     PREPARE_TIMEOUT_MS,
   );
   if (prepared !== 'confirmed') return prepared === 'epoch' ? 'epoch_changed' : 'not_prepared';
+  context.timer?.markStep('prepared', context.readClock());
   const pass = await holdPass(context, epoch);
   if (pass === undefined) return 'not_held';
+  context.timer?.markStep('held', context.readClock());
   return completeHeldChange(context, { version, epoch, pass, placement });
 }
 
@@ -95,7 +100,10 @@
     await releasePass(context, epoch, pass);
     return 'undone';
   }
+  context.timer?.markStep('armed', context.readClock());
   await releasePass(context, epoch, pass);
+  const heldPassDueAt = context.view.passClock.estimateStart(pass);
+  if (heldPassDueAt !== undefined) context.timer?.recordWait(context.readClock() - heldPassDueAt);
   const deadlineAt = context.readClock() + SWITCH_TIMEOUT_MS;
   while (context.readClock() < deadlineAt) {
     const states = [...context.view.ranks.values()];
@@ -103,6 +111,7 @@
     // All ranks are armed for the same pass, so the report of the local rank stands for all of them.
     if (context.view.ranks.get(0)?.report.map === version) {
       context.view.applySwitch(version, change.placement);
+      context.timer?.markStep('switched', context.readClock());
       return 'switched';
     }
     await context.view.waitForStatus(RESEND_INTERVAL_MS);
@@ -154,7 +163,9 @@
   order: RankOrder,
   epoch: number,
 ): Promise<OrderOutcome> {
+  const sentAt = context.readClock();
   const outcome = await state.sendOrder(order, epoch);
+  context.timer?.recordOrder(context.readClock() - sentAt);
   if (outcome === 'unknown') context.lastUnansweredOrderAt = context.readClock();
   return outcome;
 }
--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -3,6 +3,8 @@
 import { planCopies } from '../../version/placement/copyPlan.js';
 import type { ChangeContext } from './changeMap.js';
 import { changeMap, completeHeldChange, releasePass } from './changeMap.js';
+import { ChangeTimer } from './changeTimer.js';
+import { computeSkew } from './computeSkew.js';
 import type { GroupView, RankState } from './groupView.js';
 import type { ExpertLayout } from './types.js';
 
@@ -94,21 +96,30 @@
   if (placement === undefined || demand === undefined || demand.total < MIN_SELECTIONS)
     return false;
   if (states.some(({ report }) => report.armed !== undefined)) return false;
+  const plannedAt = readClock();
   const plan = planCopies(demand.getLoad(), placement, {
     slotsPerRank: layout.slotsPerRank,
     maxLoadsPerLayer: layout.maxLoadsPerLayer,
     maxCopiesPerRank: MAX_COPIES_PER_RANK,
     minGain: MIN_GAIN,
   });
-  if (plan.skewBefore - plan.skewAfter < MIN_SKEW_REDUCTION) return false;
   const startedAt = readClock();
+  metrics.recordLatency('map_plan', startedAt - plannedAt);
+  if (plan.skewBefore - plan.skewAfter < MIN_SKEW_REDUCTION) return false;
   const epoch = states[0]?.report.epoch ?? 0;
   const version = versions.issue(states);
+  const timer = new ChangeTimer(startedAt);
+  context.timer = timer;
   const outcome = await changeMap(context, { version, epoch, placement: plan.placement });
+  context.timer = undefined;
+  const durations = timer.describe();
+  const inUse = outcome === 'switched' ? plan.placement : placement;
   if (outcome === 'not_prepared') versions.skip(VERSION_SKIP);
   metrics.addCount(`map_change_${outcome}`);
   metrics.addCount('map_copies', plan.copies);
   metrics.recordLatency('map_change', readClock() - startedAt);
+  metrics.recordLatency('map_change_wait', durations.waitedMs ?? 0);
+  metrics.recordLatency('order_round_trip', durations.longestOrderMs);
   logger.info(
     {
       group: view.group,
@@ -119,8 +130,13 @@
       drops: plan.drops,
       skewBefore: round(plan.skewBefore),
       skewPlanned: round(plan.skewAfter),
+      skewAfter: round(computeSkew(demand.getLoad(), inUse)),
       demand: Math.round(demand.total),
       tookMs: Math.round(readClock() - startedAt),
+      ...durations,
+      planMs: Math.round(startedAt - plannedAt),
+      passMs: Math.round(view.passClock.passMs ?? 0),
+      receivedBytes: metrics.getCount('link_received_bytes'),
       pass: states[0]?.report.pass,
     },
     'expert map changed',
--- a/src/process/ranker/groupView.ts
+++ b/src/process/ranker/groupView.ts
@@ -1,6 +1,7 @@
 import type { MessageOf } from '../../protocol/messages.js';
 import type { GroupPlacement } from '../../version/placement/types.js';
 import { DemandTracker } from './demandTracker.js';
+import { PassClock } from './passClock.js';
 import type { ExpertLayout, OrderOutcome, RankOrder, RankReport } from './types.js';
 
 /** An older status is stale; statuses arrive at least every 150 ms. */
@@ -17,6 +18,8 @@
 /** State of all ranks in the coordinator's group. */
 export class GroupView {
   readonly ranks = new Map<number, RankState>();
+  /** Pass times as reported by the coordinator's own rank. */
+  readonly passClock = new PassClock();
   demand: DemandTracker | undefined;
   private waiters: (() => void)[] = [];
 
@@ -40,6 +43,7 @@
     now: number,
   ): void {
     const { report, choices, experts } = status;
+    if (report.rank === 0) this.passClock.observe(report, now);
     const previous = this.ranks.get(report.rank);
     const isSameEpoch = previous?.report.epoch === report.epoch;
     // Map versions only increase within an epoch, so a lower one was read before the last switch.
--- a/src/process/ranker/rankerDaemon.ts
+++ b/src/process/ranker/rankerDaemon.ts
@@ -318,6 +318,9 @@
           this.calls.get(message.call)?.(message.outcome);
         },
       },
+      onBytesReceived: (bytes) => {
+        this.metrics.addCount('link_received_bytes', bytes);
+      },
       onLink: () => undefined,
       onDown: (reason) => {
         if (linkedRank === undefined) return;
