ranker: compact selection counts and map changes on the links of a group

Now counts are packed two to a byte with the rest carried over, in messages of their own whose interval follows the group size (at most 0.8 Mbit/s; 140 ms at 8 ranks); a status is sent on change or as a heartbeat; an order to prepare carries only the rows that differ from the last map that the ranker confirmed; these messages have hand-written validators; the demand is not decayed at each report. Rankers of both builds in one group do not understand each other's statuses: no map changes then. rankerDaemon.ts is split (groupLinks.ts, remoteRankOrders.ts, selectionReporter.ts).

--- a/bench/proofs/heldMaps.ts
+++ b/bench/proofs/heldMaps.ts
@@ -87,7 +87,7 @@
       const target = view;
       const order = target;
       view.applyStatus(
-        { report, choices: [], experts },
+        { report, experts },
         // A replaced coordinator sends no further orders.
         async (sent, epoch) => {
           while (now < frozenUntil) await new Promise((resolve) => setTimeout(resolve, TICK_MS));
@@ -95,7 +95,6 @@
             ? group.receiveOrder(rank, sent, epoch)
             : new Promise(() => undefined);
         },
-        undefined,
         now,
       );
     }
--- a/src/process/ranker/changeMap.spec.ts
+++ b/src/process/ranker/changeMap.spec.ts
@@ -34,13 +34,8 @@
     );
     const view = new GroupView('g', RANKS);
     const publish = (rank: number): void => {
-      const status = { report: group.report(rank), choices: [], experts: [[rank]] };
-      view.applyStatus(
-        status,
-        (order, epoch) => group.receiveOrder(rank, order, epoch),
-        undefined,
-        now,
-      );
+      const status = { report: group.report(rank), experts: [[rank]] };
+      view.applyStatus(status, (order, epoch) => group.receiveOrder(rank, order, epoch), now);
     };
     for (let rank = 0; rank < RANKS; rank += 1) publish(rank);
     let outcome: ChangeOutcome | undefined;
@@ -77,7 +72,7 @@
   it('guards against a stale report that reverts the map after a switch', async () => {
     const { view } = await run(3000, (_rank, now) => now % LOCAL_STATUS_MS === 0);
     const stale = { ...view.ranks.get(2)!.report, map: 0 };
-    view.applyStatus({ report: stale, choices: [] }, view.ranks.get(2)!.sendOrder, undefined, 1000);
+    view.applyStatus({ report: stale }, view.ranks.get(2)!.sendOrder, 1000);
     expect(view.ranks.get(2)!.report.map).to.equal(5);
     expect(view.assemblePlacement([...view.ranks.values()])).to.deep.equal(placement);
   });
--- /dev/null
+++ b/src/process/ranker/groupLinks.ts
@@ -0,0 +1,134 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { maintainLink, parseAddress } from '../../connection/linkClient.js';
+import type { Hello, PeerLink } from '../../connection/peerLink.js';
+import type { ConfigurationSource } from '../gateway/types.js';
+import type { Logger } from '../logging.js';
+import type { Metrics } from '../metrics.js';
+import type { RankerSettings } from '../settings/rankerSettings.js';
+import type { GroupView } from './groupView.js';
+import { RemoteRank, SharedPlacementEncoder } from './remoteRankOrders.js';
+import type { PackedSelections } from './selectionCodec.js';
+import type { ExpertLayout } from './types.js';
+
+/** The upstream list and the expert layout change rarely; two coordinators read them. */
+const REFRESH_INTERVAL_MS = 4_000;
+const INITIAL_REFRESH_INTERVAL_MS = 300;
+
+export interface GroupLinksOptions {
+  readonly view: GroupView;
+  readonly settings: RankerSettings;
+  readonly source: ConfigurationSource;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly signal: AbortSignal;
+  readonly self: () => Hello;
+}
+
+/** Links of a coordinator to the rankers of its group; feeds their messages into the view of the group. */
+export class GroupLinks {
+  readonly view: GroupView;
+  /** Expert layout of the model, when known. */
+  layout: ExpertLayout | undefined;
+  private readonly addresses = new Set<string>();
+  private readonly encoder = new SharedPlacementEncoder();
+
+  constructor(private readonly options: GroupLinksOptions) {
+    this.view = options.view;
+  }
+
+  /** Refreshes the expert layout and connects to the rankers of the group until aborted. */
+  async refresh(): Promise<void> {
+    const { source, logger, signal, settings } = this.options;
+    let revision: number | undefined;
+    while (!signal.aborted) {
+      const configuration = await source.readConfiguration(revision);
+      if (configuration.isOk()) {
+        revision = configuration.value.revision;
+        const service = [...(configuration.value.configuration?.services.values() ?? [])].find(
+          ({ id }) => id === settings.service,
+        );
+        const experts = service?.engine?.experts;
+        if (experts !== undefined) {
+          this.layout = {
+            layers: experts.sets,
+            expertsPerLayer: experts.expertsPerSet,
+            slotsPerRank: experts.slotsPerRank,
+            maxLoadsPerLayer: experts.maxLoadsPerLayer,
+          };
+        }
+      }
+      const listing = await source.readUpstreams();
+      if (listing.isErr()) {
+        logger.debug({ code: listing.error.code }, 'failed to read the upstream list');
+      } else {
+        for (const upstream of listing.value.upstreams) {
+          if (upstream.service === settings.service) this.connectToRanker(upstream.address);
+        }
+      }
+      const isInitialized = this.layout !== undefined && listing.isOk();
+      const intervalMs = isInitialized ? REFRESH_INTERVAL_MS : INITIAL_REFRESH_INTERVAL_MS;
+      await sleep(intervalMs, undefined, { signal }).catch(() => undefined);
+    }
+  }
+
+  /**
+   * Adds the expert selections of a rank.
+   *
+   * @param rank - Rank number
+   * @param epoch - Epoch in which the experts were selected
+   * @param packed - Packed counts
+   */
+  addSelections(rank: number, epoch: number, packed: PackedSelections): void {
+    this.view.addSelections(rank, epoch, packed, this.layout, performance.now());
+  }
+
+  private connectToRanker(engineAddress: string): void {
+    const { settings, metrics, logger, signal, self } = this.options;
+    const { host } = parseAddress(engineAddress);
+    const localAddress = parseAddress(settings.linkAddress);
+    const address = `${host}:${localAddress.port}`;
+    if (host === localAddress.host || this.addresses.has(address)) return;
+    this.addresses.add(address);
+    const controller = new AbortController();
+    const remoteRanks = new WeakMap<PeerLink, RemoteRank>();
+    let linkedRank: number | undefined;
+    void maintainLink({
+      address,
+      self,
+      signal: AbortSignal.any([controller.signal, signal]),
+      handlers: {
+        rankStatus: (message, link) => {
+          if (message.report.group !== this.view.group) {
+            controller.abort();
+            return;
+          }
+          linkedRank = message.report.rank;
+          const remote = remoteRanks.get(link) ?? new RemoteRank(link, this.encoder);
+          remoteRanks.set(link, remote);
+          const { prepared, armed, held, ...report } = message.report;
+          this.view.applyStatus(
+            { ...message, report: { ...report, prepared, armed, held } },
+            (order, epoch) => remote.sendOrder(order, epoch),
+            performance.now(),
+          );
+        },
+        rankSelections: ({ epoch, scale, counts }) => {
+          if (linkedRank !== undefined) this.addSelections(linkedRank, epoch, { scale, counts });
+        },
+        rankOrderReply: (message, link) => {
+          remoteRanks.get(link)?.receiveReply(message);
+        },
+      },
+      onBytesReceived: (bytes) => {
+        metrics.addCount('link_received_bytes', bytes);
+      },
+      onLink: () => undefined,
+      onDown: (reason) => {
+        if (linkedRank === undefined) return;
+        this.view.removeRank(linkedRank);
+        logger.warn({ rank: linkedRank, reason }, 'lost the link to the ranker of a rank');
+        linkedRank = undefined;
+      },
+    });
+  }
+}
--- a/src/process/ranker/groupView.spec.ts
+++ b/src/process/ranker/groupView.spec.ts
@@ -1,13 +1,7 @@
 import { expect } from 'chai';
 import { GroupView } from './groupView.js';
-import type { ExpertLayout, RankReport } from './types.js';
+import type { RankReport } from './types.js';
 
-const layout: ExpertLayout = {
-  layers: 1,
-  expertsPerLayer: 4,
-  slotsPerRank: 3,
-  maxLoadsPerLayer: 1,
-};
 const createReport = (rank: number, map: number): RankReport => ({
   group: 'g0',
   size: 2,
@@ -29,8 +23,8 @@
   it('guards against a map that stays unknown when a rank reports the switch early', () => {
     const view = new GroupView('g0', 2);
     const apply = (rank: number, map: number, experts?: number[][]): void => {
-      const status = { report: createReport(rank, map), choices: [], ...(experts && { experts }) };
-      view.applyStatus(status, sendOrder, layout, 0);
+      const status = { report: createReport(rank, map), ...(experts && { experts }) };
+      view.applyStatus(status, sendOrder, 0);
     };
     apply(0, 1, [[0, 1]]);
     apply(1, 1, [[2, 3]]);
--- a/src/process/ranker/groupView.ts
+++ b/src/process/ranker/groupView.ts
@@ -2,9 +2,11 @@
 import type { GroupPlacement } from '../../version/placement/types.js';
 import { DemandTracker } from './demandTracker.js';
 import { PassClock } from './passClock.js';
+import type { PackedSelections } from './selectionCodec.js';
+import { unpackSelections } from './selectionCodec.js';
 import type { ExpertLayout, OrderOutcome, RankOrder, RankReport } from './types.js';
 
-/** An older status is stale; statuses arrive at least every 150 ms. */
+/** An older status is stale; a status or selections arrive at least every 300 ms. */
 const STATUS_TTL_MS = 700;
 
 /** State of a rank as known to the coordinator. */
@@ -33,16 +35,14 @@
    *
    * @param status - Status message
    * @param sendOrder - Sends an order to the rank
-   * @param layout - Expert layout of the model, when known
    * @param now - Current time in milliseconds
    */
   applyStatus(
-    status: Pick<MessageOf<'rankStatus'>, 'choices' | 'experts'> & { report: RankReport },
+    status: Pick<MessageOf<'rankStatus'>, 'experts'> & { report: RankReport },
     sendOrder: RankState['sendOrder'],
-    layout: ExpertLayout | undefined,
     now: number,
   ): void {
-    const { report, choices, experts } = status;
+    const { report, experts } = status;
     if (report.rank === 0) this.passClock.observe(report, now);
     const previous = this.ranks.get(report.rank);
     const isSameEpoch = previous?.report.epoch === report.epoch;
@@ -55,13 +55,34 @@
       const held = experts ?? (isSame ? previous.experts : undefined);
       this.ranks.set(report.rank, { report, receivedAt: now, experts: held, sendOrder });
     }
-    if (layout !== undefined && choices.length > 0) {
-      this.demand ??= new DemandTracker(layout.layers, layout.expertsPerLayer, now);
-      this.demand.addSelections(choices, now);
-    }
     this.notifyWaiters();
   }
 
+  /**
+   * Adds the expert selections of a rank.
+   *
+   * @param rank - Rank number
+   * @param epoch - Epoch in which the experts were selected
+   * @param packed - Packed counts
+   * @param layout - Expert layout of the model, when known
+   * @param now - Current time in milliseconds
+   */
+  addSelections(
+    rank: number,
+    epoch: number,
+    packed: PackedSelections,
+    layout: ExpertLayout | undefined,
+    now: number,
+  ): void {
+    const state = this.ranks.get(rank);
+    if (state?.report.epoch !== epoch) return;
+    state.receivedAt = now;
+    if (layout === undefined) return;
+    this.demand ??= new DemandTracker(layout.layers, layout.expertsPerLayer, now);
+    const selections = unpackSelections(packed, this.demand.length);
+    if (selections !== undefined) this.demand.addSelections(selections, now);
+  }
+
   /**
    * Records a switch that all ranks have made but may not have reported yet.
    *
--- a/src/process/ranker/rankerDaemon.ts
+++ b/src/process/ranker/rankerDaemon.ts
@@ -1,7 +1,6 @@
 import type { Server } from 'node:http';
 import { randomUUID } from 'node:crypto';
-import { setTimeout as sleep } from 'node:timers/promises';
-import { maintainLink, parseAddress } from '../../connection/linkClient.js';
+import { parseAddress } from '../../connection/linkClient.js';
 import { LinkServer } from '../../connection/linkServer.js';
 import type { Hello, PeerLink } from '../../connection/peerLink.js';
 import { defaults } from '../../defaults.js';
@@ -12,18 +11,15 @@
 import { startMetricsServer } from '../metricsServer.js';
 import type { RankerSettings } from '../settings/rankerSettings.js';
 import { coordinateGroup } from './coordinator.js';
+import { GroupLinks } from './groupLinks.js';
 import { GroupView } from './groupView.js';
-import type {
-  ExpertLayout,
-  OrderOutcome,
-  SelectionCounts,
-  RankEngine,
-  RankOrder,
-  RankReport,
-} from './types.js';
+import { RankOrderDecoder } from './remoteRankOrders.js';
+import { SelectionReporter } from './selectionReporter.js';
+import type { OrderOutcome, RankEngine, RankOrder, RankReport } from './types.js';
 
-/** Interval of selection count reads; demand shifts every 3 to 4 s, and each read costs about 0.5 ms. */
 const POLL_INTERVAL_MS = 140;
+/** A status without changes is sent this long after the last message; the coordinator drops a rank after 700 ms. */
+const HEARTBEAT_INTERVAL_MS = 270;
 /** Interval of report reads without recent orders, while a report only shows that the rank is alive. */
 const REPORT_INTERVAL_MS = 420;
 /** Used while a copy or, at the coordinator, a switch is pending: detecting its end promptly shortens the change. */
@@ -34,12 +30,6 @@
 const UNCACHED_AFTER_ORDER_MS = 700;
 /** A released group begins the next pass within this time unless it is idle. */
 const FAST_POLL_AFTER_RELEASE_MS = 250;
-/** The upstream list and the expert layout change rarely; two coordinators read them. */
-const REFRESH_INTERVAL_MS = 4_000;
-const INITIAL_REFRESH_INTERVAL_MS = 300;
-/** Covers a link round trip and one call to the engine. */
-const ORDER_TIMEOUT_MS = 100;
-
 /** How long the local rank is polled at the fast interval after an order. */
 const fastPollAfterMs: Readonly<Record<RankOrder['kind'], number>> = {
   prepare: FAST_POLL_AFTER_PREPARE_MS,
@@ -61,25 +51,25 @@
   private readonly stopController = new AbortController();
   private readonly server: LinkServer;
   private readonly incarnation = randomUUID();
-  private readonly coordinatorLinks = new Set<PeerLink>();
-  private readonly linkedAddresses = new Map<string, AbortController>();
-  private readonly calls = new Map<number, (outcome: OrderOutcome) => void>();
+  private readonly coordinators = new Map<PeerLink, RankOrderDecoder>();
+  private readonly selections: SelectionReporter;
   private metricsServer: Server | undefined;
-  private nextCallId = 1;
   private fastPollUntil = -Infinity;
   private uncachedUntil = -Infinity;
   /** Version whose copies are in progress. */
   private preparingVersion: number | undefined;
-  private lastSelectionCounts: SelectionCounts | undefined;
   private sentMapKey: string | undefined;
-  private view: GroupView | undefined;
-  private layout: ExpertLayout | undefined;
+  private sentStatusKey: string | undefined;
+  private statusSentAt = -Infinity;
+  /** Set at the coordinator. */
+  private groupLinks: GroupLinks | undefined;
   private endPollDelay: () => void = () => undefined;
 
   constructor(
     private readonly settings: RankerSettings,
     private readonly dependencies: RankerDependencies,
   ) {
+    this.selections = new SelectionReporter(dependencies.engine);
     const { host, port } = parseAddress(settings.linkAddress);
     this.server = new LinkServer({
       host,
@@ -127,79 +117,76 @@
     return {
       process: this.settings.processId,
       incarnation: this.incarnation,
-      coordinators: this.coordinatorLinks.size,
-      group: this.view?.group,
-      ranks: [...(this.view?.ranks.values() ?? [])].map(({ report }) => report),
+      coordinators: this.coordinators.size,
+      group: this.groupLinks?.view.group,
+      ranks: [...(this.groupLinks?.view.ranks.values() ?? [])].map(({ report }) => report),
     };
   }
 
   /** Polls the local rank and publishes its status to the coordinator. */
   private async pollEngine(): Promise<void> {
     const { engine } = this.dependencies;
-    let selectionsReadAt = -Infinity;
     let isReachable = true;
     let last: RankReport | undefined;
     let reportedAt = -Infinity;
     while (!this.stopController.signal.aborted) {
       const now = performance.now();
       const mayReuseReport = last !== undefined && last.rank !== 0 && now >= this.uncachedUntil;
-      if (mayReuseReport && last !== undefined && now - reportedAt < REPORT_INTERVAL_MS) {
-        selectionsReadAt = now;
-        await this.publishStatus(last, true);
-        await this.waitForNextPoll(performance.now());
-        continue;
-      }
-      const read = await engine.readReport();
-      last = read.isOk() ? read.value : undefined;
-      reportedAt = now;
-      if (read.isErr()) {
-        if (isReachable) this.dependencies.logger.warn({ code: read.error }, 'lost the engine');
-        isReachable = false;
-      } else {
-        if (!isReachable) this.dependencies.logger.info({}, 'regained the engine');
-        isReachable = true;
-        if (this.preparingVersion !== undefined && read.value.prepared === this.preparingVersion) {
-          this.preparingVersion = undefined;
-          this.fastPollUntil = now;
+      if (!mayReuseReport || now - reportedAt >= REPORT_INTERVAL_MS) {
+        const read = await engine.readReport();
+        last = read.isOk() ? read.value : undefined;
+        reportedAt = now;
+        if (isReachable !== read.isOk()) {
+          isReachable = read.isOk();
+          if (read.isErr()) this.dependencies.logger.warn({ code: read.error }, 'lost the engine');
+          else this.dependencies.logger.info({}, 'regained the engine');
         }
-        const includeSelections = now - selectionsReadAt >= POLL_INTERVAL_MS;
-        if (includeSelections) selectionsReadAt = now;
-        await this.publishStatus(read.value, includeSelections);
       }
+      if (last !== undefined) await this.publishReport(last, now);
       await this.waitForNextPoll(performance.now());
     }
   }
 
-  private async publishStatus(report: RankReport, includeSelections: boolean): Promise<void> {
+  private async publishReport(report: RankReport, now: number): Promise<void> {
+    if (this.preparingVersion !== undefined && report.prepared === this.preparingVersion) {
+      this.preparingVersion = undefined;
+      // The coordinator follows its own rank until the switch.
+      if (report.rank !== 0) this.fastPollUntil = now;
+    }
     if (report.rank === 0) this.startCoordinator(report);
-    const isCoordinator = this.view !== undefined && report.rank === 0;
-    if (!isCoordinator && this.coordinatorLinks.size === 0) return;
-    const choices = includeSelections ? await this.readSelections(report) : [];
+    const isCoordinator = this.groupLinks !== undefined && report.rank === 0;
+    if (!isCoordinator && this.coordinators.size === 0) return;
+    if (now >= this.selections.computeNextAt(report.size)) await this.publishSelections(report);
     const experts = await this.readChangedExperts(report);
-    const status = { report, choices, ...(experts === undefined ? {} : { experts }) };
+    const status = { report, ...(experts === undefined ? {} : { experts }) };
     if (isCoordinator) {
-      const sendOrder = (order: RankOrder, epoch: number): Promise<OrderOutcome> =>
-        this.sendOrderToEngine(order, epoch);
-      this.view?.applyStatus(status, sendOrder, this.layout, performance.now());
+      this.groupLinks?.view.applyStatus(
+        status,
+        (order, epoch) => this.sendOrderToEngine(order, epoch),
+        performance.now(),
+      );
       return;
     }
-    for (const link of this.coordinatorLinks) link.send({ type: 'rankStatus', ...status });
+    const { epoch, isOpen, map, prepared, armed, held } = report;
+    const key = [epoch, isOpen, map, prepared, armed?.version, armed?.pass, held].join();
+    const isDue = now - this.statusSentAt >= HEARTBEAT_INTERVAL_MS;
+    if (key === this.sentStatusKey && experts === undefined && !isDue) return;
+    this.sentStatusKey = key;
+    this.statusSentAt = now;
+    for (const link of this.coordinators.keys()) link.send({ type: 'rankStatus', ...status });
   }
 
-  /** Returns the selection counts since the last read; counts restart from zero when the rank restarts. */
-  private async readSelections(report: RankReport): Promise<number[]> {
-    const read = await this.dependencies.engine.readSelectionCounts();
-    if (read.isErr()) return [];
-    const before = this.lastSelectionCounts;
-    this.lastSelectionCounts = read.value;
-    if (before?.epoch !== report.epoch) return [];
-    const choices: number[] = [];
-    for (const [index, value] of read.value.counts.entries()) {
-      const difference = value - (before.counts[index] ?? 0);
-      if (difference < 0) return [];
-      choices.push(difference);
+  private async publishSelections(report: RankReport): Promise<void> {
+    const packed = await this.selections.readPacked(report, performance.now());
+    if (packed === undefined) return;
+    const { epoch, rank } = report;
+    if (rank === 0) this.groupLinks?.addSelections(rank, epoch, packed);
+    else {
+      for (const link of this.coordinators.keys())
+        link.send({ type: 'rankSelections', epoch, ...packed });
     }
-    return choices;
+    // Selections show that the rank is alive, as a heartbeat does.
+    this.statusSentAt = performance.now();
   }
 
   private async readChangedExperts(report: RankReport): Promise<number[][] | undefined> {
@@ -214,160 +201,58 @@
   }
 
   private async executeOrder(message: MessageOf<'rankOrder'>, link: PeerLink): Promise<void> {
-    const outcome = await this.sendOrderToEngine(message.order, message.epoch);
+    const order = this.coordinators.get(link)?.decodeOrder(message.order);
+    const outcome =
+      order === undefined ? 'unknown' : await this.sendOrderToEngine(order, message.epoch);
     link.send({ type: 'rankOrderReply', call: message.call, outcome });
   }
 
   private async sendOrderToEngine(order: RankOrder, epoch: number): Promise<OrderOutcome> {
     const outcome = await this.dependencies.engine.sendOrder(order, epoch);
     this.metrics.addCount(`order_${order.kind}_${outcome}`);
-    this.fastPollUntil = performance.now() + fastPollAfterMs[order.kind];
-    this.uncachedUntil = performance.now() + UNCACHED_AFTER_ORDER_MS;
+    const now = performance.now();
+    this.fastPollUntil = Math.max(this.fastPollUntil, now + fastPollAfterMs[order.kind]);
+    this.uncachedUntil = now + UNCACHED_AFTER_ORDER_MS;
     this.preparingVersion = order.kind === 'prepare' ? order.version : undefined;
     if (outcome === 'unknown' || outcome === 'refused') {
       this.dependencies.logger.warn({ order: order.kind, epoch, outcome }, 'order not carried out');
     }
-    if (this.fastPollUntil > performance.now()) this.endPollDelay();
+    if (this.fastPollUntil > now) this.endPollDelay();
     return outcome;
   }
 
   private addCoordinator(link: PeerLink): void {
-    this.coordinatorLinks.add(link);
+    this.coordinators.set(link, new RankOrderDecoder());
     this.sentMapKey = undefined;
+    this.sentStatusKey = undefined;
     link.onClose(() => {
-      this.coordinatorLinks.delete(link);
+      this.coordinators.delete(link);
     });
   }
 
   private startCoordinator(report: RankReport): void {
-    if (this.view?.group === report.group) return;
-    const { logger } = this.dependencies;
+    if (this.groupLinks?.view.group === report.group) return;
+    const { logger, source } = this.dependencies;
     logger.info({ group: report.group, size: report.size }, 'started to coordinate the group');
-    this.view = new GroupView(report.group, report.size);
-    void this.refreshConfiguration();
+    const groupLinks = new GroupLinks({
+      view: new GroupView(report.group, report.size),
+      settings: this.settings,
+      source,
+      logger,
+      metrics: this.metrics,
+      signal: this.stopController.signal,
+      self: () => this.createHello(),
+    });
+    this.groupLinks = groupLinks;
+    void groupLinks.refresh();
     void coordinateGroup({
-      view: this.view,
+      view: groupLinks.view,
       logger,
       metrics: this.metrics,
       signal: this.stopController.signal,
       readClock: () => performance.now(),
       readWallClock: () => Date.now(),
-      getLayout: () => this.layout,
-    });
-  }
-
-  /** Refreshes the expert layout and connects to the rankers of the group. */
-  private async refreshConfiguration(): Promise<void> {
-    const { source, logger } = this.dependencies;
-    let revision: number | undefined;
-    while (!this.stopController.signal.aborted) {
-      const configuration = await source.readConfiguration(revision);
-      if (configuration.isOk()) {
-        revision = configuration.value.revision;
-        const service = [...(configuration.value.configuration?.services.values() ?? [])].find(
-          ({ id }) => id === this.settings.service,
-        );
-        const experts = service?.engine?.experts;
-        if (experts !== undefined) {
-          this.layout = {
-            layers: experts.sets,
-            expertsPerLayer: experts.expertsPerSet,
-            slotsPerRank: experts.slotsPerRank,
-            maxLoadsPerLayer: experts.maxLoadsPerLayer,
-          };
-        }
-      }
-      const listing = await source.readUpstreams();
-      if (listing.isErr()) {
-        logger.debug({ code: listing.error.code }, 'failed to read the upstream list');
-      } else {
-        for (const upstream of listing.value.upstreams) {
-          if (upstream.service === this.settings.service) this.connectToRanker(upstream.address);
-        }
-      }
-      const isInitialized = this.layout !== undefined && listing.isOk();
-      const intervalMs = isInitialized ? REFRESH_INTERVAL_MS : INITIAL_REFRESH_INTERVAL_MS;
-      await sleep(intervalMs, undefined, { signal: this.stopController.signal }).catch(
-        () => undefined,
-      );
-    }
-  }
-
-  private connectToRanker(engineAddress: string): void {
-    const { host } = parseAddress(engineAddress);
-    const localAddress = parseAddress(this.settings.linkAddress);
-    const address = `${host}:${localAddress.port}`;
-    if (host === localAddress.host || this.linkedAddresses.has(address)) return;
-    const controller = new AbortController();
-    this.linkedAddresses.set(address, controller);
-    let linkedRank: number | undefined;
-    void maintainLink({
-      address,
-      self: () => this.createHello(),
-      signal: AbortSignal.any([controller.signal, this.stopController.signal]),
-      handlers: {
-        rankStatus: (message, link) => {
-          if (message.report.group !== this.view?.group) {
-            controller.abort();
-            return;
-          }
-          linkedRank = message.report.rank;
-          this.applyStatus(message, link);
-        },
-        rankOrderReply: (message) => {
-          this.calls.get(message.call)?.(message.outcome);
-        },
-      },
-      onBytesReceived: (bytes) => {
-        this.metrics.addCount('link_received_bytes', bytes);
-      },
-      onLink: () => undefined,
-      onDown: (reason) => {
-        if (linkedRank === undefined) return;
-        this.view?.removeRank(linkedRank);
-        this.dependencies.logger.warn(
-          { rank: linkedRank, reason },
-          'lost the link to the ranker of a rank',
-        );
-        linkedRank = undefined;
-      },
-    });
-  }
-
-  private applyStatus(message: MessageOf<'rankStatus'>, link: PeerLink): void {
-    const { report } = message;
-    const status = {
-      ...message,
-      report: {
-        ...report,
-        prepared: report.prepared,
-        armed: report.armed,
-        held: report.held,
-      },
-    };
-    const sendOrder = (order: RankOrder, epoch: number): Promise<OrderOutcome> =>
-      this.sendOrderOverLink(link, order, epoch);
-    this.view?.applyStatus(status, sendOrder, this.layout, performance.now());
-  }
-
-  private sendOrderOverLink(
-    link: PeerLink,
-    order: RankOrder,
-    epoch: number,
-  ): Promise<OrderOutcome> {
-    const call = this.nextCallId;
-    this.nextCallId += 1;
-    return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        this.calls.get(call)?.('unknown');
-      }, ORDER_TIMEOUT_MS);
-      this.calls.set(call, (outcome) => {
-        clearTimeout(timer);
-        this.calls.delete(call);
-        resolve(outcome);
-      });
-      const copy = structuredClone(order) as MessageOf<'rankOrder'>['order'];
-      link.send({ type: 'rankOrder', call, epoch, order: copy });
+      getLayout: () => groupLinks.layout,
     });
   }
 
--- a/src/protocol/hotPathValidators.spec.ts
+++ b/src/protocol/hotPathValidators.spec.ts
@@ -10,6 +10,39 @@
 const bytes = fc.uint8Array({ maxLength: 8 });
 const usage = fc.record({ promptTokens: count, outputTokens: count });
 
+const outcome = fc.constantFrom('begun', 'done', 'refused', 'unknown');
+const report = fc.record(
+  {
+    group: id,
+    epoch: count,
+    rank: count,
+    size: count,
+    isOpen: fc.boolean(),
+    startedAt: count,
+    pass: count,
+    map: count,
+    prepared: fc.option(count, { nil: undefined }),
+    armed: fc.option(fc.record({ version: count, pass: count }), { nil: undefined }),
+    held: fc.option(count, { nil: undefined }),
+    running: count,
+    queued: count,
+  },
+  {
+    requiredKeys: [
+      'group',
+      'epoch',
+      'rank',
+      'size',
+      'isOpen',
+      'startedAt',
+      'pass',
+      'map',
+      'running',
+      'queued',
+    ],
+  },
+);
+
 /** Messages as processes of this version send them. */
 const messages: Readonly<Record<string, fc.Arbitrary<Readonly<Record<string, unknown>>>>> = {
   chunk: fc.record({ attempt: id, sequence: count, tokens: fc.array(fc.string()) }),
@@ -47,6 +80,12 @@
     suspects: fc.constant([]),
     coveredSends: count,
   }),
+  rankSelections: fc.record({ epoch: count, scale: count, counts: bytes }),
+  rankStatus: fc.record(
+    { report, experts: fc.array(fc.array(count, { maxLength: 3 }), { maxLength: 3 }) },
+    { requiredKeys: ['report'] },
+  ),
+  rankOrderReply: fc.record({ call: count, outcome }),
 };
 
 /** Values at the bounds of the fields, and values of other types. */
@@ -54,6 +93,11 @@
   fc.constantFrom<unknown>(-1, -0, 0, 0.5, NaN, Infinity, 2 ** 53, '', 'x'.repeat(257), null),
   fc.constantFrom<unknown>(undefined, [], {}, [1], ['a', undefined], true, 1n, new Uint8Array(1)),
   fc.record({ promptTokens: fc.constantFrom(-1, 1), outputTokens: count, more: count }),
+  report,
+  fc.array(fc.array(fc.constantFrom<unknown>(1, -1, 'a'), { maxLength: 2 }), { maxLength: 2 }),
+  fc
+    .tuple(report, fc.constantFrom('group', 'held', 'armed', 'unknownField'), fc.anything())
+    .map(([fields, name, value]) => ({ ...fields, [name]: value })),
   fc.array(fc.record({ fingerprint: id, crashes: count, ageMs: count }), { maxLength: 2 }),
   fc.anything(),
 );
--- a/src/protocol/hotPathValidators.ts
+++ b/src/protocol/hotPathValidators.ts
@@ -81,8 +81,69 @@
   message.suspects.length === 0 &&
   isCount(message.coveredSends);
 
+const isRankSelections: HotPathValidator = (message) =>
+  countFields(message) === 4 &&
+  isCount(message.epoch) &&
+  isCount(message.scale) &&
+  isBytes(message.counts);
+
+const isOptionalCount = (value: unknown): boolean => value === undefined || isCount(value);
+
+function isArming(value: unknown): boolean {
+  return (
+    value === undefined ||
+    (isRecord(value) && countFields(value) === 2 && isCount(value.version) && isCount(value.pass))
+  );
+}
+
+const requiredReportCounts = [
+  'epoch',
+  'rank',
+  'size',
+  'startedAt',
+  'pass',
+  'map',
+  'running',
+  'queued',
+] as const;
+const optionalReportFields = ['prepared', 'armed', 'held'] as const;
+const REQUIRED_REPORT_FIELDS = requiredReportCounts.length + 2;
+
+function isRankReport(value: unknown): boolean {
+  if (!isRecord(value) || !isId(value.group) || typeof value.isOpen !== 'boolean') return false;
+  for (const name of requiredReportCounts) if (!isCount(value[name])) return false;
+  let fields = REQUIRED_REPORT_FIELDS;
+  for (const name of optionalReportFields) if (Object.hasOwn(value, name)) fields += 1;
+  return (
+    countFields(value) === fields &&
+    isOptionalCount(value.prepared) &&
+    isOptionalCount(value.held) &&
+    isArming(value.armed)
+  );
+}
+
+function isLayerExperts(value: unknown): boolean {
+  if (!Array.isArray(value)) return false;
+  for (const experts of value as unknown[]) {
+    if (!Array.isArray(experts)) return false;
+    for (const expert of experts as unknown[]) if (!isCount(expert)) return false;
+  }
+  return true;
+}
+
+const isRankStatus: HotPathValidator = (message) =>
+  countFields(message) === (Object.hasOwn(message, 'experts') ? 3 : 2) &&
+  isRankReport(message.report) &&
+  (message.experts === undefined || isLayerExperts(message.experts));
+
+const isOrderOutcome = (value: unknown): boolean =>
+  value === 'begun' || value === 'done' || value === 'refused' || value === 'unknown';
+
+const isRankOrderReply: HotPathValidator = (message) =>
+  countFields(message) === 3 && isCount(message.call) && isOrderOutcome(message.outcome);
+
 /**
- * Validators by message type for messages that are sent per request or per token; cheaper than the schemas.
+ * Validators by message type for messages that are sent per request, per token or many times a second; cheaper than the schemas.
  * The schemas remain authoritative: a message that a validator rejects is parsed by its schema.
  */
 export const hotPathValidators: Readonly<Partial<Record<MessageType, HotPathValidator>>> = {
@@ -90,4 +151,7 @@
   end: isEnd,
   request: isRequest,
   load: isLoad,
+  rankSelections: isRankSelections,
+  rankStatus: isRankStatus,
+  rankOrderReply: isRankOrderReply,
 };
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -220,7 +220,7 @@
 
 const layerExperts = z.array(z.array(count));
 
-/** Ranker to coordinator: report of the rank, and the expert selections counted since the last status. */
+/** Ranker to coordinator: report of the rank, sent when it has changed and otherwise as a heartbeat. */
 const rankStatus = z.object({
   type: z.literal('rankStatus'),
   report: z.object({
@@ -238,19 +238,33 @@
     running: count,
     queued: count,
   }),
-  /** Selections by layer and expert, flattened layer by layer; empty if not read for this status. */
-  choices: z.array(count),
   /** Set if the active expert map has changed. */
   experts: layerExperts.optional(),
 });
 
+/** Ranker to coordinator: expert selections of the rank since the last such message; sent after its first `rankStatus`. */
+const rankSelections = z.object({
+  type: z.literal('rankSelections'),
+  epoch: count,
+  /** Selections per unit of a packed count. */
+  scale: count,
+  /** Counts by layer and expert, flattened layer by layer, two to a byte. */
+  counts: bytes,
+});
+
 /** Coordinator to ranker: an order for the rank of this ranker. */
 const rankOrder = z.object({
   type: z.literal('rankOrder'),
   call: count,
   epoch: count,
   order: z.discriminatedUnion('kind', [
-    z.object({ kind: z.literal('prepare'), version: count, placement: z.array(layerExperts) }),
+    z.object({
+      kind: z.literal('prepare'),
+      version: count,
+      /** Version of an earlier order to prepare over this link whose map the rows change; without it, `rows` has all. */
+      base: count.optional(),
+      rows: bytes,
+    }),
     z.object({ kind: z.literal('arm'), version: count, pass: count }),
     z.object({ kind: z.literal('disarm'), version: count }),
     z.object({ kind: z.literal('hold'), pass: count }),
@@ -289,6 +303,7 @@
   knowledgeAsk,
   knowledgeReply,
   rankStatus,
+  rankSelections,
   rankOrder,
   rankOrderReply,
 } as const;
