fix: wait during a graceful stop until responses are handed to the operating system

Cause: a request no longer counted as active once its response had ended, although bytes were still buffered in the process, and the close of http.Server and closeIdleConnections destroy connections in that state. Closing idle ones in each round also leaves no time between the last check and the stop in which a new request on a kept connection could be read and then lost.

--- /dev/null
+++ b/src/process/gateway/callerConnections.ts
@@ -0,0 +1,53 @@
+import type { Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { Server as NetServer } from 'node:net';
+import { observeClose } from '../../request/forwarding/responseClose.js';
+import type { CallerExchange } from '../../request/forwarding/types.js';
+
+/** Tracks the connections of callers and the responses that are not yet handed to the operating system. */
+export class CallerConnections {
+  private readonly unfinished = new Map<Socket, Set<ServerResponse>>();
+
+  /** @param server - Server that accepts the connections */
+  constructor(private readonly server: Server) {
+    server.on('connection', (socket: Socket) => {
+      this.unfinished.set(socket, new Set());
+      socket.once('close', () => this.unfinished.delete(socket));
+    });
+  }
+
+  /** Number of requests whose response is not yet handed to the operating system. */
+  countUnfinished(): number {
+    let count = 0;
+    for (const responses of this.unfinished.values()) count += responses.size;
+    return count;
+  }
+
+  /**
+   * Tracks a request until its response is handed to the operating system or its connection closes.
+   *
+   * @param exchange - Request and response
+   */
+  add(exchange: CallerExchange): void {
+    const responses = this.unfinished.get(exchange.request.socket);
+    if (responses === undefined) return;
+    responses.add(exchange.response);
+    observeClose(exchange, () => responses.delete(exchange.response));
+  }
+
+  /** Stops accepting connections. */
+  closeListener(): void {
+    // The method of http.Server also closes connections whose response has ended but is not flushed.
+    NetServer.prototype.close.call(this.server);
+  }
+
+  /** Closes the connections without an unfinished response. */
+  closeIdle(): void {
+    for (const [socket, responses] of this.unfinished) if (responses.size === 0) socket.destroy();
+  }
+
+  /** Closes all connections. */
+  closeAll(): void {
+    for (const socket of this.unfinished.keys()) socket.destroy();
+  }
+}
--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -16,6 +16,7 @@
 import { Metrics } from '../metrics.js';
 import { startMetricsServer } from '../metricsServer.js';
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
+import { CallerConnections } from './callerConnections.js';
 import { ConfigurationCache } from './configurationCache.js';
 import type { StateSnapshot } from './gatewayPeers.js';
 import { GatewayPeers } from './gatewayPeers.js';
@@ -58,13 +59,13 @@
   private readonly queues = new Map<ServiceId, AdmissionQueue>();
   private readonly repeatBudgets = new Map<ServiceId, SlidingWindowBudget>();
   private readonly front: Server;
+  private readonly callers: CallerConnections;
   private readonly ready: Server;
   private readonly peers: GatewayPeers;
   private readonly context: ForwardingContext;
   private readonly incarnation = randomUUID();
   private metricsServer: Server | undefined;
   private isDraining = false;
-  private active = 0;
 
   constructor(
     private readonly settings: GatewaySettings,
@@ -98,6 +99,7 @@
       isDraining: () => this.isDraining,
     };
     this.front = createServer({ maxHeaderSize: defaults.maxHeaderBytes });
+    this.callers = new CallerConnections(this.front);
     this.ready = createServer();
     this.peers = new GatewayPeers({
       address: settings.linkAddress,
@@ -134,7 +136,9 @@
     const { settings, dependencies } = this;
     polka({ server: this.front })
       .use((request: IncomingMessage, response: ServerResponse) => {
-        void this.serve(request, response);
+        const exchange = { request, response };
+        this.callers.add(exchange);
+        void forwardRequest(this.context, exchange);
       })
       .listen(settings.frontPort, settings.host);
     polka({ server: this.ready })
@@ -185,32 +189,34 @@
   }
 
   /**
-   * Shuts down gracefully: reports not ready at once, closes the listener after `DRAIN_LISTEN_MS`, then waits for the
-   * active requests. Resolves when all have ended or the stop limit, less `EXIT_MARGIN_MS`, is reached.
+   * Shuts down gracefully: reports not ready at once, closes the listener after `DRAIN_LISTEN_MS`, then waits until all
+   * responses are handed to the operating system, or until the stop limit, less `EXIT_MARGIN_MS`, is reached.
    */
   async drain(): Promise<void> {
     const startedAt = performance.now();
     this.isDraining = true;
-    this.dependencies.logger.info({ active: this.active }, 'draining');
+    this.dependencies.logger.info({ active: this.callers.countUnfinished() }, 'draining');
     await sleep(DRAIN_LISTEN_MS);
-    this.front.close();
-    this.front.closeIdleConnections();
+    this.callers.closeListener();
     const deadlineAt = startedAt + this.settings.stopLimitMs - EXIT_MARGIN_MS;
-    while (this.active > 0 && performance.now() < deadlineAt) await sleep(DRAIN_POLL_INTERVAL_MS);
-    await sleep(DRAIN_POLL_INTERVAL_MS);
+    do {
+      this.callers.closeIdle();
+      await sleep(DRAIN_POLL_INTERVAL_MS);
+    } while (this.callers.countUnfinished() > 0 && performance.now() < deadlineAt);
     this.stop();
   }
 
   /** Stops immediately and closes all connections. */
   stop(): void {
+    const unfinished = this.callers.countUnfinished();
     this.stopController.abort();
+    this.callers.closeAll();
     this.front.close();
     this.ready.close();
     this.ready.closeAllConnections();
     this.metricsServer?.close();
-    this.front.closeAllConnections();
     this.dependencies.source.close();
-    this.dependencies.logger.info({ unfinished: this.active }, 'gateway stopped');
+    this.dependencies.logger.info({ unfinished }, 'gateway stopped');
   }
 
   /**
@@ -225,7 +231,7 @@
       incarnation: this.incarnation,
       isReady: this.isReady(),
       isDraining: this.isDraining,
-      active: this.active,
+      active: this.callers.countUnfinished(),
       configurationVersion: this.configurationCache.version,
       proofAgeMs: this.configurationCache.computeAge(now),
       gateways: this.peers.size,
@@ -235,15 +241,6 @@
     };
   }
 
-  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.active += 1;
-    try {
-      await forwardRequest(this.context, { request, response });
-    } finally {
-      this.active -= 1;
-    }
-  }
-
   private createSnapshot(version: number): StateSnapshot {
     const now = this.readClock();
     const proofAgeMs = this.configurationCache.computeAge(now);
--- a/test/failures/callerConnections.spec.ts
+++ b/test/failures/callerConnections.spec.ts
@@ -1,12 +1,18 @@
 import { expect } from 'chai';
 import type { Socket } from 'node:net';
 import type { RawRequest, RawWorker } from '../standins/rawWorker.js';
-import { startRawWorker } from '../standins/rawWorker.js';
+import { formatHead, startRawWorker } from '../standins/rawWorker.js';
 import type { GatewayFixture } from '../support/gatewayFixture.js';
 import { startGatewayFixture } from '../support/gatewayFixture.js';
 import { formatRequest, RawCaller } from '../support/rawCaller.js';
 import { waitMs, waitUntil } from '../support/waiting.js';
 
+/** Larger than the send and receive buffers of the kernel, so that a part stays in the process. */
+const LARGE_BODY_BYTES = 24_000_000;
+const CALLER_TIMEOUT_MS = 6_000;
+/** Time in which the gateway receives a large response. */
+const LARGE_RESPONSE_MS = 400;
+
 describe('connections of callers', () => {
   let fixture: GatewayFixture;
   let worker: RawWorker;
@@ -21,6 +27,33 @@
     await worker.close();
   });
 
+  /** Sends a request whose large response the caller does not read yet. */
+  const startSlowCaller = async (headers: string[]): Promise<RawCaller> => {
+    await start((socket, { requestId }) => {
+      socket.end(formatHead(requestId, headers) + 'x'.repeat(LARGE_BODY_BYTES));
+    });
+    const caller = connect();
+    caller.pause();
+    caller.send(formatRequest('/pay/a', 'r-1', 'question'));
+    await waitMs(LARGE_RESPONSE_MS);
+    return caller;
+  };
+  const countBodyBytes = (received: string): number =>
+    received.length - received.indexOf('\r\n\r\n') - 4;
+
+  // A graceful stop must not cut a response that a slow caller is still receiving.
+  for (const framing of [`Content-Length: ${LARGE_BODY_BYTES}`, 'Connection: close']) {
+    it(`guards against a response that a graceful stop cuts off; ${framing}`, async () => {
+      const caller = await startSlowCaller([framing]);
+      const stopped = fixture.gateways[0]!.drain();
+      await waitMs(3_000);
+      caller.resume();
+      const { received } = await caller.waitForEnd(CALLER_TIMEOUT_MS);
+      expect(countBodyBytes(received)).to.equal(LARGE_BODY_BYTES);
+      await stopped;
+    });
+  }
+
   // A caller that leaves must end the work for all its requests, also for those that wait for an earlier response.
   it('guards against work for a caller that disconnected with several requests on a connection', async () => {
     const closed: string[] = [];
