fix: reset unfinished responses without a length when the gateway stops

Cause: the stop closed all connections in order, and the end of the connection is the end of such a body. A process that is killed cannot do this; the kernel then ends its connections in order.

--- a/src/process/gateway/callerConnections.ts
+++ b/src/process/gateway/callerConnections.ts
@@ -48,6 +48,11 @@
 
   /** Closes all connections. */
   closeAll(): void {
-    for (const socket of this.unfinished.keys()) socket.destroy();
+    for (const [socket, responses] of this.unfinished) {
+      // An orderly close would mark a body as complete that ends with its connection.
+      if ([...responses].some((response) => !response.useChunkedEncodingByDefault))
+        socket.resetAndDestroy();
+      else socket.destroy();
+    }
   }
 }
--- a/test/failures/callerConnections.spec.ts
+++ b/test/failures/callerConnections.spec.ts
@@ -54,6 +54,16 @@
     });
   }
 
+  // The end of the connection is the end of a body without a length, so a stop must not end it in order.
+  it('guards against a truncated body without a length that a stop ends in order', async () => {
+    const caller = await startSlowCaller(['Connection: close']);
+    fixture.gateways[0]!.stop();
+    caller.resume();
+    const { received, end } = await caller.waitForEnd(CALLER_TIMEOUT_MS);
+    expect(countBodyBytes(received)).to.be.below(LARGE_BODY_BYTES);
+    expect(end).to.equal('reset');
+  });
+
   // A caller that leaves must end the work for all its requests, also for those that wait for an earlier response.
   it('guards against work for a caller that disconnected with several requests on a connection', async () => {
     const closed: string[] = [];
