fix: do not answer an earlier request with the rejection of later bytes

Cause: the default handler of http.Server for such bytes writes its answer unless the head of the current response was sent. Evidence: a raw TCP caller; the new test failed before (its assertion was then a pattern, the response must be empty now): AssertionError: expected 'HTTP/1.1 400 Bad Request\r\nConnectio…' not to match /^HTTP\/1.1 400 / Fix: such bytes are answered only on a connection without an unfinished response; any other is closed, with a reset if an orderly close would complete a body. Bytes that break off a body within a request therefore close the connection without an answer, where they were answered 400 before. Proper callers send neither; found by reading. The second new test (the answer stays when no response is due) passed before as well.

--- a/src/process/gateway/callerConnections.ts
+++ b/src/process/gateway/callerConnections.ts
@@ -4,6 +4,13 @@
 import { observeClose } from '../../request/forwarding/responseClose.js';
 import type { CallerExchange } from '../../request/forwarding/types.js';
 
+/** Status of the response to bytes that are no request, by error code; these requests have not run. */
+const rejectionStatuses: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+const DEFAULT_REJECTION_STATUS = '400 Bad Request';
+
 /** Tracks the connections of callers and the responses that are not yet handed to the operating system. */
 export class CallerConnections {
   private readonly unfinished = new Map<Socket, Set<ServerResponse>>();
@@ -14,6 +21,9 @@
       this.unfinished.set(socket, new Set());
       socket.once('close', () => this.unfinished.delete(socket));
     });
+    server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+      this.rejectBytes(error.code ?? '', socket);
+    });
   }
 
   /** Number of requests whose response is not yet handed to the operating system. */
@@ -48,11 +58,23 @@
 
   /** Closes all connections. */
   closeAll(): void {
-    for (const [socket, responses] of this.unfinished) {
-      // An orderly close would mark a body as complete that ends with its connection.
-      if ([...responses].some((response) => !response.useChunkedEncodingByDefault))
-        socket.resetAndDestroy();
-      else socket.destroy();
+    for (const socket of this.unfinished.keys()) this.closeConnection(socket);
+  }
+
+  /** Answers bytes that are no request, unless the caller would take the answer for that to an earlier request. */
+  private rejectBytes(code: string, socket: Socket): void {
+    if (socket.writable && this.unfinished.get(socket)?.size === 0) {
+      const status = rejectionStatuses[code] ?? DEFAULT_REJECTION_STATUS;
+      socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
     }
+    this.closeConnection(socket);
+  }
+
+  private closeConnection(socket: Socket): void {
+    const responses = [...(this.unfinished.get(socket) ?? [])];
+    // An orderly close would mark a body as complete that ends with its connection.
+    if (responses.some((response) => !response.useChunkedEncodingByDefault))
+      socket.resetAndDestroy();
+    else socket.destroy();
   }
 }
--- a/test/failures/callerConnections.spec.ts
+++ b/test/failures/callerConnections.spec.ts
@@ -91,4 +91,27 @@
     expect(worker.requests).to.have.length(0);
     caller.close();
   });
+
+  // A request in part, and an error response to it, must not be taken for the response to an earlier request.
+  it('guards against an error response to bytes that are no request in place of an earlier response', async () => {
+    await start((socket, { requestId }) => {
+      setTimeout(() => {
+        socket.end(`${formatHead(requestId, ['Content-Length: 2'])}ok`);
+      }, 200);
+    });
+    const caller = connect();
+    caller.send(`${formatRequest('/pay/a', 'r-1', 'question')}NOT HTTP\r\n\r\n`);
+    const { received } = await caller.waitForEnd(CALLER_TIMEOUT_MS);
+    expect(received).to.equal('');
+  });
+
+  // Bytes that are no request are answered while no other response is due.
+  it('guards against bytes that are no request and receive no answer', async () => {
+    await start(() => undefined);
+    const caller = connect();
+    caller.send('NOT HTTP\r\n\r\n');
+    const { received, end } = await caller.waitForEnd(CALLER_TIMEOUT_MS);
+    expect(received).to.equal('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
+    expect(end).to.equal('closed');
+  });
 });
