--- a/src/process/gateway/types.ts
+++ b/src/process/gateway/types.ts
@@ -4,7 +4,8 @@
 
 /** Why a read of the configuration store or of an upstream failed. */
 export interface ReadError {
-  readonly code: 'unreachable' | 'timeout' | 'refused' | 'malformed' | 'not_found' | 'outdated';
+  readonly code:
+    'unreachable' | 'timeout' | 'refused' | 'malformed' | 'not_found' | 'outdated' | 'truncated';
   readonly message: string;
 }
 
--- a/test/standins/platformStore.ts
+++ b/test/standins/platformStore.ts
@@ -10,6 +10,8 @@
   calls: number;
   /** Value of the era header; undefined for a store that does not send it. */
   era: number | undefined;
+  /** Maximum number of items in one page of a listing. */
+  pageSize: number;
   /** Copies all items and the revision counter. */
   takeCopy(): void;
   /** Returns to the last copy; the era rises, and the revisions since the copy are assigned again. */
@@ -35,10 +37,11 @@
 export async function startPlatformStore(): Promise<StoreStandIn> {
   const items = new Map<string, Item>();
   let revision = 1;
-  const state: Pick<StoreStandIn, 'mode' | 'calls' | 'era'> = {
+  const state: Pick<StoreStandIn, 'mode' | 'calls' | 'era' | 'pageSize'> = {
     mode: 'serving',
     calls: 0,
     era: undefined,
+    pageSize: Infinity,
   };
   let copy: { revision: number; items: [string, Item][] } = { revision, items: [] };
   const server = createRouteServer({
@@ -54,8 +57,15 @@
       state.calls += 1;
       if (refuse(response)) return undefined;
       const prefix = query.get('prefix') ?? '';
-      const listed = [...items.values()].filter(({ key }) => key.startsWith(prefix));
-      return { items: listed, truncated: false, storeRevision: revision };
+      const after = query.get('after') ?? '';
+      const listed = [...items.values()]
+        .filter(({ key }) => key.startsWith(prefix) && key > after)
+        .sort((a, b) => (a.key < b.key ? -1 : 1));
+      return {
+        items: listed.slice(0, state.pageSize),
+        truncated: listed.length > state.pageSize,
+        storeRevision: revision,
+      };
     },
   });
   function refuse(response: ServerResponse): boolean {
