fix: probe the groups of upstreams that were first seen in the list of a peer

A gateway that cannot read the store takes its upstreams from its peers but never learned their groups: only upstreams from its own reads were probed. When a group failed, requests went to each of its ranks in turn. Added and restarted upstreams of a peer's list are now probed as well.

--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -311,6 +311,7 @@
       snapshot.listingEra,
     );
     for (const { upstream, change } of changes) {
+      if (change === 'added' || change === 'restarted') void this.discoverGroup(upstream);
       if (change !== 'held')
         logger.info({ upstream, change }, 'upstream list of a peer taken over');
     }
--- a/test/failures/gateway.spec.ts
+++ b/test/failures/gateway.spec.ts
@@ -293,6 +293,30 @@
     expect(answer.status).to.equal(200);
   });
 
+  // Guards against requests to all ranks of a failed group, whose members the gateway does not know.
+  it('guards against upstreams from the list of a peer whose groups are never probed', async () => {
+    fixture = await startGatewayFixture({ gateways: 2, started: 1, separateStores: true });
+    const engine = {
+      slots: 4,
+      kvCapacityTokens: 1000,
+      step_ms: 5,
+      per_seq_ms: 0.5,
+      read_per_s: 1000,
+      sets: 1,
+    };
+    fixture.publishConfiguration(2, {
+      services: [{ name: 'assistant', healthPath: '/health', maxConns: 100, engine }],
+    });
+    await waitMs(900);
+    fixture.stores[1]!.mode = 'busy';
+    await fixture.startNextGateway();
+    const isProbed = ({ receivedRequests }: { receivedRequests: readonly { url: string }[] }) =>
+      receivedRequests.some(({ url }) => url === '/report');
+    await waitUntil('all upstreams probed', () => fixture.workers.every(isProbed), {
+      timeoutMs: 3000,
+    });
+  });
+
   it('guards against truncated streams and refused requests during a graceful stop', async () => {
     fixture = await startGatewayFixture({ workers: 1 });
     fixture.workers[0]!.eventIntervalMs = 200;
