fix: ask peers only for the configuration while a restored store can be read

After a restore every gateway asks all others five times a second for 2.2 s, and each reply held the whole upstream list. Links with little room would delay answers to callers, and the list of a peer added nothing, since the store itself can be read. The query now states that the list is not needed. Replies to queries after a failed read still hold it, and an older peer that ignores the field sends it as before.

--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -125,7 +125,8 @@
       onCrashReceived: (fingerprint) => {
         this.context.suspects.recordCrash(fingerprint, this.readClock());
       },
-      createSnapshot: (version) => this.createSnapshot(version),
+      createSnapshot: (version, configurationOnly) =>
+        this.createSnapshot(version, configurationOnly),
       applySnapshot: (snapshot, queriedAt) => {
         this.applySnapshot(snapshot, queriedAt);
       },
@@ -164,7 +165,8 @@
       onUpstreamStarted: (upstream: UpstreamId) => {
         void this.discoverGroup(upstream);
       },
-      queryPeers: () => this.peers.queryAll(this.configurationCache.version),
+      queryPeers: (configurationOnly: boolean) =>
+        this.peers.queryAll(this.configurationCache.version, configurationOnly),
       onChange: () => {
         this.applyLimits();
         this.dispatchAll();
@@ -251,7 +253,7 @@
     }
   }
 
-  private createSnapshot(version: number): StateSnapshot {
+  private createSnapshot(version: number, configurationOnly: boolean): StateSnapshot {
     const now = this.readClock();
     const proofAgeMs = this.configurationCache.computeAge(now);
     const listingAgeMs = this.directory.computeAge(now);
@@ -267,15 +269,21 @@
       ...(held !== undefined && this.configurationCache.version > version
         ? { document: held.document }
         : {}),
-      ...(Number.isFinite(listingAgeMs) ? { listingAgeMs, listingEra: this.directory.era } : {}),
-      upstreams: this.directory.listAll().map(({ startedAt, heartbeat, ...entry }) => ({
-        ...entry,
-        ...(startedAt === undefined ? {} : { startedAt }),
-        ...(heartbeat === undefined ? {} : { heartbeat }),
-      })),
+      ...(Number.isFinite(listingAgeMs) && !configurationOnly
+        ? { listingAgeMs, listingEra: this.directory.era }
+        : {}),
+      upstreams: configurationOnly ? [] : this.listRelayed(),
     };
   }
 
+  private listRelayed(): StateSnapshot['upstreams'] {
+    return this.directory.listAll().map(({ startedAt, heartbeat, ...entry }) => ({
+      ...entry,
+      ...(startedAt === undefined ? {} : { startedAt }),
+      ...(heartbeat === undefined ? {} : { heartbeat }),
+    }));
+  }
+
   private applySnapshot(snapshot: StateSnapshot, queriedAt: number): void {
     const { logger, source } = this.dependencies;
     const { version, proofAgeMs, document, listingAgeMs, era, isEraComplete } = snapshot;
--- a/src/process/gateway/gatewayPeers.ts
+++ b/src/process/gateway/gatewayPeers.ts
@@ -32,8 +32,9 @@
    * Creates the reply to a query of a peer.
    *
    * @param version - Configuration version that the peer has; the document is included only when it is older
+   * @param configurationOnly - Leaves out the upstream list
    */
-  createSnapshot(version: number): StateSnapshot;
+  createSnapshot(version: number, configurationOnly: boolean): StateSnapshot;
   /**
    * Applies the reply of a peer.
    *
@@ -101,9 +102,10 @@
    * have replied or `QUERY_TIMEOUT_MS` has passed.
    *
    * @param version - Version of the cached configuration
+   * @param configurationOnly - Does not request the upstream list, which is far longer than the rest of a reply
    * @returns False when there are other gateways but none has replied
    */
-  async queryAll(version: number): Promise<boolean> {
+  async queryAll(version: number, configurationOnly: boolean): Promise<boolean> {
     let replies = 0;
     const answers = [...this.links.values()].map(
       (link) =>
@@ -121,7 +123,7 @@
           };
           const timer = setTimeout(end, QUERY_TIMEOUT_MS);
           this.pendingQueries.set(call, { queriedAt: this.options.readClock(), settle });
-          link.send({ type: 'knowledgeAsk', call, version });
+          link.send({ type: 'knowledgeAsk', call, version, configurationOnly });
         }),
     );
     await Promise.all(answers);
@@ -142,8 +144,9 @@
       crashNotice: ({ fingerprint }) => {
         this.options.onCrashReceived(toId<Fingerprint>(fingerprint));
       },
-      knowledgeAsk: ({ call, version }, link) => {
-        link.send({ type: 'knowledgeReply', call, ...this.options.createSnapshot(version) });
+      knowledgeAsk: ({ call, version, configurationOnly }, link) => {
+        const snapshot = this.options.createSnapshot(version, configurationOnly === true);
+        link.send({ type: 'knowledgeReply', call, ...snapshot });
       },
       knowledgeReply: ({ call, ...snapshot }) => {
         const query = this.pendingQueries.get(call);
--- a/src/process/gateway/storePolling.ts
+++ b/src/process/gateway/storePolling.ts
@@ -33,11 +33,12 @@
   /** Unlike `readClock` independent of the wall clock; for grace periods, which must not end early. */
   readonly readMonotonicClock: () => number;
   /**
-   * Requests configuration and upstream list from the other gateways, while the store cannot be read or has lost data.
+   * Queries the other gateways while the store cannot be read or has lost data.
    *
+   * @param configurationOnly - Does not request their upstream lists
    * @returns False when there are other gateways but none has replied
    */
-  readonly queryPeers: () => Promise<boolean>;
+  readonly queryPeers: (configurationOnly: boolean) => Promise<boolean>;
   /** Called after a read that changed the configuration or the upstream list. */
   readonly onChange: () => void;
   /** Called for each upstream that was added or has restarted. */
@@ -69,7 +70,7 @@
     const read = checkEra(answer, options);
     if (read.isErr()) {
       dependency.recordFailure(read.error);
-      await options.queryPeers();
+      await options.queryPeers(false);
     } else {
       dependency.recordSuccess();
       last = await applyConfigurationRead(options, read.value, last, {
@@ -103,7 +104,7 @@
   const isBehind = (): boolean => version < configurationCache.version;
   storeEra.recordConfiguration(revision, isBehind(), times.monotonicStartedAt);
   if (!storeEra.isComplete(times.monotonicStartedAt, isBehind())) {
-    if (await options.queryPeers()) storeEra.confirm();
+    if (await options.queryPeers(true)) storeEra.confirm();
   }
   const isProof = storeEra.isComplete(times.monotonicStartedAt, isBehind());
   const validatedAt = isProof ? times.readStartedAt : -Infinity;
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -188,12 +188,13 @@
 /** Gateway to gateway: an upstream crashed while running this request. */
 const crashNotice = z.object({ type: z.literal('crashNotice'), fingerprint: id });
 
-/** Gateway to gateway: requests the latest configuration and upstream list. */
+/** Gateway to gateway: requests the latest configuration and, unless `configurationOnly` is set, the upstream list. */
 const knowledgeAsk = z.object({
   type: z.literal('knowledgeAsk'),
   call: count,
   /** Version cached by the requesting gateway; the document is only sent if this version is older. */
   version: count,
+  configurationOnly: z.boolean().optional(),
 });
 
 /** Ages are measured from the start of the store read, so they are never too low. */
