test: grace period of a restored store and steps of the wall clock

The polling loop uses two clocks: one that counts suspends for the age of proofs, and a monotonic one for the grace period. The test fails when the grace period reads the former: computeAge(0) is -60400 instead of 0. It also covers the log line of a restore.

--- /dev/null
+++ b/src/process/gateway/storePolling.spec.ts
@@ -0,0 +1,76 @@
+import { expect } from 'chai';
+import { Err, Ok } from 'ts-results-es';
+import type { RoutingConfiguration } from '../../version/routing/types.js';
+import type { Logger, LogFields } from '../logging.js';
+import { Metrics } from '../metrics.js';
+import { ConfigurationCache } from './configurationCache.js';
+import { StoreEra } from './storeEra.js';
+import { maintainConfiguration } from './storePolling.js';
+import type { ConfigurationPosition } from './types.js';
+import { UpstreamDirectory } from './upstreamDirectory.js';
+
+const createConfiguration = (version: number): RoutingConfiguration => ({
+  version,
+  routes: [],
+  services: new Map(),
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+});
+
+describe('polling of a restored store', () => {
+  // Guards against revoked keys that a step of the wall clock, which counts as a suspend, makes valid again too early.
+  it('guards against a step of the wall clock that ends the grace period', async () => {
+    const controller = new AbortController();
+    const configurationCache = new ConfigurationCache(1000);
+    const positions: ConfigurationPosition[] = [
+      { era: 0, revision: 5 },
+      { era: 1, revision: 5 },
+      { era: 1, revision: 5 },
+    ];
+    const warnings: [LogFields, string][] = [];
+    const discard = (): void => undefined;
+    const logger: Logger = {
+      debug: discard,
+      info: discard,
+      error: discard,
+      warn: (fields, message) => {
+        warnings.push([fields, message]);
+      },
+    };
+    let reads = 0;
+    let steppedMs = 0;
+    await maintainConfiguration({
+      source: {
+        readConfiguration: () => {
+          const position = positions[reads] ?? { era: 1, revision: 5 };
+          reads += 1;
+          if (reads === positions.length) controller.abort();
+          return Promise.resolve(Ok({ ...position, configuration: createConfiguration(4) }));
+        },
+        readUpstreams: () => Promise.resolve(Err({ code: 'refused', message: '' })),
+        decodeDocument: () => Err({ code: 'malformed', message: '' }),
+        close: discard,
+      },
+      configurationCache,
+      directory: new UpstreamDirectory(),
+      storeEra: new StoreEra(),
+      logger,
+      metrics: new Metrics(),
+      signal: controller.signal,
+      readClock: () => reads * 200 + steppedMs,
+      readMonotonicClock: () => reads * 200,
+      queryPeers: () => {
+        steppedMs = 60_000;
+        return Promise.resolve(true);
+      },
+      onChange: discard,
+      onUpstreamStarted: discard,
+    });
+    expect(configurationCache.computeAge(0), 'only the read of the old era is a proof').to.equal(0);
+    expect(warnings).to.deep.equal([
+      [
+        { previousEra: 0, era: 1, previousRevision: 5, revision: 5 },
+        'store restored from an older copy',
+      ],
+    ]);
+  });
+});
