ranker: bound the time that a coordinator spends on planning

Plans are now made at 80 ms intervals at most, with fresh demand, and take at most a tenth of the time.

--- /dev/null
+++ b/src/process/ranker/coordinator.spec.ts
@@ -0,0 +1,79 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'chai';
+import { Metrics } from '../metrics.js';
+import { coordinateGroup } from './coordinator.js';
+import { GroupView } from './groupView.js';
+import { PlanRate } from './planRate.js';
+import { packSelections } from './selectionCodec.js';
+import type { RankReport } from './types.js';
+
+const RANKS = 4;
+const DURATION_MS = 800;
+const STATUS_INTERVAL_MS = 4;
+/** The group is checked every 80 ms. */
+const MAX_PLANS = 12;
+const layout = { layers: 1, expertsPerLayer: 4, slotsPerRank: 1, maxLoadsPerLayer: 1 };
+const logger = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+const createReport = (rank: number): RankReport => ({
+  group: 'g0',
+  epoch: 1,
+  rank,
+  size: RANKS,
+  isOpen: true,
+  startedAt: 1,
+  pass: 10,
+  map: 0,
+  prepared: undefined,
+  armed: undefined,
+  held: undefined,
+  running: 7,
+  queued: 0,
+});
+
+describe('planning of map changes', () => {
+  // A plan at each of some hundred statuses a second took the processor that orders and replies need.
+  it('guards against a plan at each status of a rank', async () => {
+    const view = new GroupView('g0', RANKS);
+    const metrics = new Metrics();
+    const stop = new AbortController();
+    const sendOrder = (): Promise<'done'> => Promise.resolve('done');
+    const readClock = (): number => performance.now();
+    const ended = coordinateGroup({
+      view,
+      logger,
+      metrics,
+      signal: stop.signal,
+      readClock,
+      readWallClock: () => Date.now(),
+      getLayout: () => layout,
+    });
+    const endsAt = readClock() + DURATION_MS;
+    while (readClock() < endsAt) {
+      for (let rank = 0; rank < RANKS; rank += 1) {
+        view.applyStatus({ report: createReport(rank), experts: [[rank]] }, sendOrder, readClock());
+        const packed = packSelections(Float64Array.from([9_000, 9_000, 9_000, 9_000]));
+        view.addSelections(rank, 1, packed, layout, readClock());
+      }
+      await sleep(STATUS_INTERVAL_MS);
+    }
+    stop.abort();
+    await ended;
+    const { count = 0 } = metrics.summarize().latencies.map_plan ?? {};
+    expect(count).to.be.greaterThan(0);
+    expect(count).to.be.at.most(MAX_PLANS);
+  });
+
+  // A plan for a large group takes 30 to 150 ms of its coordinator's processor.
+  it('guards against long plans that follow each other at once', () => {
+    const rate = new PlanRate();
+    expect(rate.isDue(0)).to.equal(true);
+    rate.recordPlan(0, 40);
+    expect([rate.isDue(40), rate.isDue(399), rate.isDue(400)]).to.deep.equal([false, false, true]);
+  });
+});
--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Logger } from '../logging.js';
 import type { Metrics } from '../metrics.js';
 import { planCopies } from '../../version/placement/copyPlan.js';
@@ -6,6 +7,7 @@
 import { ChangeTimer } from './changeTimer.js';
 import { computeSkew } from './computeSkew.js';
 import type { GroupView, RankState } from './groupView.js';
+import { PlanRate } from './planRate.js';
 import type { ExpertLayout } from './types.js';
 
 /** A rank makes the copies of one change sequentially; one copy takes 0.15 s at 92 Gbit/s. */
@@ -16,7 +18,7 @@
 const MIN_SKEW_REDUCTION = 0.04;
 /** Expert selections required before planning; with fewer, chance determines which expert appears popular. */
 const MIN_SELECTIONS = 6_000;
-/** Interval between two evaluations of the demand while no change is needed. */
+/** Interval between two checks of the group while no change is in progress. */
 const IDLE_POLL_INTERVAL_MS = 80;
 /** Versions start at the wall clock in this unit, so that a restarted coordinator does not reuse earlier versions. */
 const VERSION_TICK_MS = 1_000;
@@ -47,17 +49,21 @@
     lastUnansweredOrderAt: -Infinity,
   };
   const versions = new VersionSource(options.readWallClock());
+  const planRate = new PlanRate();
   while (!signal.aborted) {
     const states = view.listIfComplete(readClock());
     const layout = options.getLayout();
     if (states === undefined || layout === undefined) {
-      await view.waitForStatus(IDLE_POLL_INTERVAL_MS);
+      await sleep(IDLE_POLL_INTERVAL_MS, undefined, { signal }).catch(() => undefined);
       continue;
     }
     const hadOrphanedHold = await resolveOrphanedHold(options, context, states);
     const hadChange =
-      !hadOrphanedHold && (await rebalance(options, context, versions, states, layout));
-    if (!hadChange) await view.waitForStatus(IDLE_POLL_INTERVAL_MS);
+      !hadOrphanedHold &&
+      (await rebalance(options, context, { versions, planRate }, states, layout));
+    if (!hadChange) {
+      await sleep(IDLE_POLL_INTERVAL_MS, undefined, { signal }).catch(() => undefined);
+    }
   }
 }
 
@@ -86,7 +92,7 @@
 async function rebalance(
   options: CoordinatorOptions,
   context: ChangeContext,
-  versions: VersionSource,
+  { versions, planRate }: { readonly versions: VersionSource; readonly planRate: PlanRate },
   states: readonly RankState[],
   layout: ExpertLayout,
 ): Promise<boolean> {
@@ -97,6 +103,7 @@
     return false;
   if (states.some(({ report }) => report.armed !== undefined)) return false;
   const plannedAt = readClock();
+  if (!planRate.isDue(plannedAt)) return false;
   const plan = planCopies(demand.getLoad(), placement, {
     slotsPerRank: layout.slotsPerRank,
     maxLoadsPerLayer: layout.maxLoadsPerLayer,
@@ -104,6 +111,7 @@
     minGain: MIN_GAIN,
   });
   const startedAt = readClock();
+  planRate.recordPlan(plannedAt, startedAt);
   metrics.recordLatency('map_plan', startedAt - plannedAt);
   if (plan.skewBefore - plan.skewAfter < MIN_SKEW_REDUCTION) return false;
   const epoch = states[0]?.report.epoch ?? 0;
