ranker: name the held pass from the measured times of a pass and of arming

The pass is now the first one expected after 1.5 times the measured time from hold to release, at most 4 ahead. The hold stays as it was; what may be released when has not changed. The new spec fails on the code before: the group stands still at the held pass of each change.

--- a/src/process/ranker/changeMap.spec.ts
+++ b/src/process/ranker/changeMap.spec.ts
@@ -4,12 +4,15 @@
 import { LockstepGroup } from '../../../test/standins/lockstepGroup.js';
 import type { ChangeOutcome } from './changeMap.js';
 import { changeMap } from './changeMap.js';
+import type { RankState } from './groupView.js';
 import { GroupView } from './groupView.js';
 
 const RANKS = 4;
 const TICK_MS = 5;
 const LOCAL_STATUS_MS = 20;
 const OTHER_STATUS_MS = 420;
+/** Time that an order for one rank takes on the coordinator's link, in each direction. */
+const ORDER_SPACING_MS = 0.7;
 const noFaults = { lost: 0, late: 0, unanswered: 0, duplicated: 0 };
 const placement = [Array.from({ length: RANKS }, (_, rank) => [rank])];
 
@@ -81,4 +84,63 @@
     const { outcome } = await run(20_000, (rank, now) => rank !== 3 && now % LOCAL_STATUS_MS === 0);
     expect(outcome).to.equal('not_prepared');
   });
+
+  // A wait at the held pass of more than some 30 ms makes every running stream of the group late.
+  it('guards against a large group that stands still at the held pass while slow orders arrive', async () => {
+    const ranks = 32;
+    const changes = 12;
+    let now = 0;
+    const group = new LockstepGroup(
+      ranks,
+      () => 0.5,
+      noFaults,
+      () => now,
+    );
+    const view = new GroupView('g', ranks);
+    // The orders of a change leave one after the other over the coordinator's link.
+    const waitForLink = (rank: number): Promise<void> =>
+      new Promise((resolve) => setTimeout(resolve, rank * ORDER_SPACING_MS));
+    const publish = (rank: number): void => {
+      const status = { report: group.report(rank), experts: [[rank]] };
+      const sendOrder: RankState['sendOrder'] = async (order, epoch) => {
+        await waitForLink(rank);
+        const outcome = await group.receiveOrder(rank, order, epoch);
+        await waitForLink(rank);
+        return outcome;
+      };
+      view.applyStatus(status, sendOrder, now);
+    };
+    for (let rank = 0; rank < ranks; rank += 1) publish(rank);
+    const context = {
+      view,
+      readClock: () => now,
+      firstUnusedPass: 0,
+      lastUnansweredOrderAt: -Infinity,
+    };
+    const outcomes: ChangeOutcome[] = [];
+    const heldStarts: number[] = [];
+    const largePlacement = [Array.from({ length: ranks }, (_, rank) => [rank])];
+    const makeChanges = async (): Promise<void> => {
+      await new Promise((resolve) => setTimeout(resolve, 1_000));
+      for (let version = 1; version <= changes; version += 1) {
+        const before = group.heldStarts;
+        outcomes.push(await changeMap(context, { version, epoch: 1, placement: largePlacement }));
+        heldStarts.push(group.heldStarts - before);
+      }
+    };
+    void makeChanges();
+    while (outcomes.length < changes && now < 60_000) {
+      now += TICK_MS;
+      mock.timers.tick(TICK_MS);
+      group.run();
+      for (let rank = 0; rank < ranks; rank += 1) {
+        if (now % (rank === 0 ? LOCAL_STATUS_MS : 60) === 0) publish(rank);
+      }
+      await nextTurn();
+    }
+    expect(outcomes).to.deep.equal(new Array(changes).fill('switched'));
+    expect(group.mixedPasses).to.equal(0);
+    // The time to arm is not known before the first change.
+    expect(heldStarts.slice(1)).to.deep.equal(new Array(changes - 1).fill(0));
+  });
 });
--- a/src/process/ranker/changeMap.ts
+++ b/src/process/ranker/changeMap.ts
@@ -10,10 +10,16 @@
 const ARM_TIMEOUT_MS = 1_500;
 /** The group begins the armed pass within this time unless it is idle. */
 const SWITCH_TIMEOUT_MS = 3_000;
-/** Passes from the decision to the switch while all orders get a response; arming all ranks takes about 10 ms. */
+/** Minimum number of passes from the decision to the switch. */
 const LEAD_PASSES = 1;
-/** Used while orders are lost: arming then takes a few resends, and the group should not wait at the held pass. */
-const UNRELIABLE_LEAD_PASSES = 4;
+/** Assumed time from the hold to the release until one has been measured. */
+const INITIAL_ARM_MS = 120;
+/** A group that reaches a held pass makes all its streams late, and one more pass of lead delays only the switch. */
+const ARM_TIME_MARGIN = 1.5;
+/** Weight of the latest time to arm when it is shorter than the estimate; a longer one replaces the estimate. */
+const ARM_TIME_WEIGHT = 0.25;
+/** Maximum lead; also used while orders are lost and the time to arm has not been measured, as it then takes resends. */
+const MAX_LEAD_PASSES = 4;
 /** Orders count as unreliable for this long after one remained unanswered. */
 const UNRELIABLE_PERIOD_MS = 8_000;
 /** The group may begin the chosen pass before the hold takes effect; the next attempt names a later pass. */
@@ -36,6 +42,8 @@
   firstUnusedPass: number;
   /** Time at which an order last remained unanswered. */
   lastUnansweredOrderAt: number;
+  /** Estimated time from the hold to the release of a pass; undefined until measured. */
+  armMs?: number | undefined;
   /** Measures the change in progress. */
   timer?: ChangeTimer | undefined;
 }
@@ -62,10 +70,11 @@
   );
   if (prepared !== 'confirmed') return prepared === 'epoch' ? 'epoch_changed' : 'not_prepared';
   context.timer?.markStep('prepared', context.readClock());
+  const heldAt = context.readClock();
   const pass = await holdPass(context, epoch);
   if (pass === undefined) return 'not_held';
   context.timer?.markStep('held', context.readClock());
-  return completeHeldChange(context, { version, epoch, pass, placement });
+  return completeHeldChange(context, { version, epoch, pass, placement, heldAt });
 }
 
 /**
@@ -83,6 +92,8 @@
     readonly pass: number;
     /** Undefined when an earlier coordinator has chosen it. */
     readonly placement?: MapChange['placement'];
+    /** Time of the order to hold; undefined when an earlier coordinator has sent it. */
+    readonly heldAt?: number;
   },
 ): Promise<ChangeOutcome> {
   const { version, epoch, pass } = change;
@@ -102,6 +113,7 @@
   }
   context.timer?.markStep('armed', context.readClock());
   await releasePass(context, epoch, pass);
+  if (change.heldAt !== undefined) recordArmTime(context, context.readClock() - change.heldAt);
   const heldPassDueAt = context.view.passClock.estimateStart(pass);
   if (heldPassDueAt !== undefined) context.timer?.recordWait(context.readClock() - heldPassDueAt);
   const deadlineAt = context.readClock() + SWITCH_TIMEOUT_MS;
@@ -140,12 +152,14 @@
 }
 
 async function holdPass(context: ChangeContext, epoch: number): Promise<number | undefined> {
-  const isReliable = context.readClock() - context.lastUnansweredOrderAt > UNRELIABLE_PERIOD_MS;
-  let lead = isReliable ? LEAD_PASSES : UNRELIABLE_LEAD_PASSES;
+  const isReliable =
+    context.armMs !== undefined ||
+    context.readClock() - context.lastUnansweredOrderAt > UNRELIABLE_PERIOD_MS;
+  let lead = isReliable ? LEAD_PASSES : MAX_LEAD_PASSES;
   for (let attempts = 0; attempts < MAX_HOLD_ATTEMPTS; attempts += 1) {
     const localState = context.view.ranks.get(0);
     if (localState?.report.epoch !== epoch) return undefined;
-    const pass = Math.max(localState.report.pass + lead, context.firstUnusedPass);
+    const pass = Math.max(choosePass(context, localState.report, lead), context.firstUnusedPass);
     context.firstUnusedPass = pass + 1;
     const outcome = await sendOrder(context, localState, { kind: 'hold', pass }, epoch);
     if (outcome === 'done' || outcome === 'begun') return pass;
@@ -157,6 +171,22 @@
   return undefined;
 }
 
+/** Chooses a pass that the group does not reach before all ranks are armed and the pass is released. */
+function choosePass(context: ChangeContext, report: RankReport, lead: number): number {
+  const now = context.readClock();
+  const earliest = report.pass + lead;
+  // An idle group does not reach any pass.
+  if (report.running === 0) return earliest;
+  const armedAt = now + (context.armMs ?? INITIAL_ARM_MS) * ARM_TIME_MARGIN;
+  const pass = context.view.passClock.estimateFirstPass(armedAt, now) ?? earliest;
+  return Math.max(earliest, Math.min(pass, report.pass + MAX_LEAD_PASSES));
+}
+
+function recordArmTime(context: ChangeContext, durationMs: number): void {
+  const estimateMs = context.armMs ?? durationMs;
+  context.armMs = Math.max(durationMs, estimateMs + (durationMs - estimateMs) * ARM_TIME_WEIGHT);
+}
+
 async function sendOrder(
   context: ChangeContext,
   state: RankState,
--- a/src/process/ranker/passClock.ts
+++ b/src/process/ranker/passClock.ts
@@ -11,7 +11,15 @@
   passMs: number | undefined;
   private sampled: { readonly pass: number; readonly at: number } | undefined;
   private latest:
-    { readonly epoch: number; readonly pass: number; readonly seenAt: number } | undefined;
+    | {
+        readonly epoch: number;
+        readonly pass: number;
+        readonly seenAt: number;
+        /** The pass began up to this long before it was seen. */
+        readonly uncertaintyMs: number;
+      }
+    | undefined;
+  private observedAt = -Infinity;
 
   /**
    * Evaluates a report.
@@ -23,8 +31,10 @@
     const { epoch, pass } = report;
     if (this.latest?.epoch !== epoch) this.sampled = undefined;
     if (this.latest?.epoch !== epoch || pass > this.latest.pass) {
-      this.latest = { epoch, pass, seenAt: now };
+      const uncertaintyMs = Math.min(now - this.observedAt, this.passMs ?? 0);
+      this.latest = { epoch, pass, seenAt: now, uncertaintyMs };
     }
+    this.observedAt = now;
     const isIdle = report.running === 0;
     const isHeld = report.held !== undefined && report.held <= pass + 1;
     if (this.sampled === undefined || isIdle || isHeld) {
@@ -50,4 +60,19 @@
     if (this.latest === undefined || this.passMs === undefined) return undefined;
     return this.latest.seenAt + (pass - this.latest.pass) * this.passMs;
   }
+
+  /**
+   * Estimates the first pass that does not begin before a given time.
+   *
+   * @param at - Time in milliseconds
+   * @param now - Current time in milliseconds
+   * @returns Pass number, undefined until passes have been measured
+   */
+  estimateFirstPass(at: number, now: number): number | undefined {
+    if (this.latest === undefined || this.passMs === undefined) return undefined;
+    const { pass, seenAt, uncertaintyMs } = this.latest;
+    // A pass that is later than expected begins now at the earliest.
+    const nextAt = Math.max(seenAt - uncertaintyMs + this.passMs, now);
+    return pass + 1 + Math.max(0, Math.ceil((at - nextAt) / this.passMs));
+  }
 }
--- a/src/process/ranker/rankerDaemon.ts
+++ b/src/process/ranker/rankerDaemon.ts
@@ -28,12 +28,14 @@
 const FAST_POLL_AFTER_PREPARE_MS = 1_500;
 /** Reports are read on every poll for this long after an order, so that the switch is seen. */
 const UNCACHED_AFTER_ORDER_MS = 700;
+/** An armed rank reports it on its next read, and the coordinator waits for the reports of all ranks. */
+const FAST_POLL_AFTER_ARM_MS = 60;
 /** A released group begins the next pass within this time unless it is idle. */
 const FAST_POLL_AFTER_RELEASE_MS = 250;
 /** How long the local rank is polled at the fast interval after an order. */
 const fastPollAfterMs: Readonly<Record<RankOrder['kind'], number>> = {
   prepare: FAST_POLL_AFTER_PREPARE_MS,
-  arm: 0,
+  arm: FAST_POLL_AFTER_ARM_MS,
   disarm: FAST_POLL_AFTER_RELEASE_MS,
   hold: 0,
   release: FAST_POLL_AFTER_RELEASE_MS,
--- a/test/standins/lockstepGroup.ts
+++ b/test/standins/lockstepGroup.ts
@@ -33,6 +33,8 @@
 export class LockstepGroup {
   readonly ranks: RankState[] = [];
   mixedPasses = 0;
+  /** Number of times that a pass was due but held. */
+  heldStarts = 0;
   pass = 1;
   epoch = 1;
   /** An idle group executes no passes. */
@@ -68,8 +70,8 @@
     while (!this.isIdle && this.nextPassAt <= now) {
       this.nextPassAt += PASS_DURATION_MS;
       const next = this.pass + 1;
-      if (this.ranks.some(({ held }) => held !== undefined && held <= next)) continue;
-      this.startPass(next);
+      if (this.ranks.some(({ held }) => held !== undefined && held <= next)) this.heldStarts += 1;
+      else this.startPass(next);
     }
   }
 
