fix: reset a stream without a length for a half-closed caller

Cause: Node's server ends a connection as soon as its caller ends the sending half, before the gateway learns of it. Evidence: a raw TCP caller; the new test failed before: AssertionError: expected 'closed' to equal 'reset' Fix: such a stream is aborted at that moment, which resets the connection, before Node ends it. A caller that closed its connection as a whole sends the same packet and is not affected. The raw caller asks for its peer only while its own sending half is open: the peer is also unknown after an orderly end that follows its own, which made this test pass without the fix at first.

--- a/src/request/forwarding/callerReply.ts
+++ b/src/request/forwarding/callerReply.ts
@@ -70,6 +70,11 @@
     this.hasSentHead = true;
     if (head.isFramed) this.writeHead(head, []);
     else this.writeUnframedHead(head);
+    if (!this.endsWithConnection) return;
+    // Node closes the connection in order when the caller closes its sending half, which would mark the stream as complete.
+    this.response.req.socket.prependOnceListener('end', () => {
+      this.abortStream();
+    });
   }
 
   /**
--- a/test/failures/callerResponses.spec.ts
+++ b/test/failures/callerResponses.spec.ts
@@ -7,6 +7,7 @@
 import { startGatewayFixture } from '../support/gatewayFixture.js';
 import type { RawExchange } from '../support/rawCaller.js';
 import { formatRequest, RawCaller } from '../support/rawCaller.js';
+import { waitUntil } from '../support/waiting.js';
 
 const EVENT_STREAM = 'Content-Type: text/event-stream';
 const CHUNKED = 'Transfer-Encoding: chunked';
@@ -176,4 +177,19 @@
     expect(received).to.include(formatEvent(1));
     expect(end).to.equal('reset');
   });
+
+  // A caller that has closed its sending half must not take the end of the connection for the end of the stream.
+  it('guards against a truncated stream without a length that ends in order for a half-closed caller', async () => {
+    await start((socket, { requestId }) => {
+      socket.write(formatHead(requestId, [EVENT_STREAM]) + formatEvent(1));
+      setTimeout(() => socket.writable && socket.end(formatEvent(2)), 10 * FORWARD_MS);
+    });
+    const caller = new RawCaller(fixture.urls[0] ?? '');
+    caller.send(formatRequest('/chat/a', 'r-1', 'question'));
+    await waitUntil('first event', () => caller.received.includes(formatEvent(1)));
+    caller.closeSending();
+    const { received, end } = await caller.waitForEnd(CALLER_TIMEOUT_MS);
+    expect(received).to.not.include(formatEvent(2));
+    expect(end).to.equal('reset');
+  });
 });
--- a/test/support/rawCaller.ts
+++ b/test/support/rawCaller.ts
@@ -16,6 +16,7 @@
   end: ConnectionEnd = 'open';
   readonly ended: Promise<void>;
   private readonly socket: Socket;
+  private hasClosedSending = false;
 
   /** @param url - Base URL of the gateway */
   constructor(url: string) {
@@ -37,8 +38,10 @@
         resolve();
       };
       this.socket.once('end', () => {
-        // Node reports a reset that it reads together with earlier bytes as an orderly end; only then the peer is unknown.
-        finish(this.socket.remoteAddress === undefined ? 'reset' : 'closed');
+        // Node reports a reset that it reads together with earlier bytes as an orderly end; the peer is unknown then, but
+        // also after the orderly end of a connection that this side has closed first.
+        const hasReset = !this.hasClosedSending && this.socket.remoteAddress === undefined;
+        finish(hasReset ? 'reset' : 'closed');
       });
       this.socket.once('error', () => {
         finish('reset');
@@ -56,6 +59,7 @@
 
   /** Closes the sending half of the connection. */
   closeSending(): void {
+    this.hasClosedSending = true;
     this.socket.end();
   }
 
