--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import { randomUUID } from 'node:crypto';
+import { setMaxListeners } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 import polka from 'polka';
 import { defaults } from '../../defaults.js';
@@ -18,9 +19,10 @@
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
 import { CallerConnections } from './callerConnections.js';
 import { ConfigurationCache } from './configurationCache.js';
-import type { StateSnapshot } from './gatewayPeers.js';
 import { GatewayPeers } from './gatewayPeers.js';
+import { discoverGroup } from './groupDiscovery.js';
 import { maintainGroupProbes } from './groupProbing.js';
+import { PeerSnapshots } from './peerSnapshots.js';
 import { maintainConfiguration, maintainUpstreams } from './storePolling.js';
 import { StoreEra } from './storeEra.js';
 import { SuspendClock } from './suspendClock.js';
@@ -38,9 +40,6 @@
 /** Subtracted from the maximum age of the configuration; covers one queued request and clock drift. */
 const KEY_VALIDITY_MARGIN_MS = 500;
 const DRAIN_POLL_INTERVAL_MS = 25;
-/** A new engine may not respond yet; the number of probes is bounded because each has a cost. */
-const MAX_GROUP_PROBES = 6;
-const GROUP_PROBE_RETRY_INTERVAL_MS = 500;
 
 export interface GatewayDependencies {
   readonly source: ConfigurationSource;
@@ -74,6 +73,8 @@
     private readonly dependencies: GatewayDependencies,
   ) {
     const { logger, codec } = dependencies;
+    // Each link to a peer listens for the stop, and the number of peers has no fixed bound.
+    setMaxListeners(0, this.stopController.signal);
     this.configurationCache = new ConfigurationCache(
       settings.keyRevocationLimitMs - KEY_VALIDITY_MARGIN_MS,
     );
@@ -104,6 +105,20 @@
     this.front = createServer({ maxHeaderSize: defaults.maxHeaderBytes });
     this.callers = new CallerConnections(this.front);
     this.ready = createServer();
+    const snapshots = new PeerSnapshots({
+      ...dependencies,
+      configurationCache: this.configurationCache,
+      directory: this.directory,
+      storeEra: this.storeEra,
+      readClock: () => this.readClock(),
+      readMonotonicClock: () => performance.now(),
+      onConfiguration: () => {
+        this.applyLimits();
+      },
+      onUpstreamStarted: (upstream) => {
+        this.startGroupDiscovery(upstream);
+      },
+    });
     this.peers = new GatewayPeers({
       address: settings.linkAddress,
       seeds: settings.seeds,
@@ -127,10 +142,9 @@
       onCrashReceived: (fingerprint) => {
         this.context.suspects.recordCrash(fingerprint, this.readClock());
       },
-      createSnapshot: (version, configurationOnly) =>
-        this.createSnapshot(version, configurationOnly),
+      createSnapshot: (version, configurationOnly) => snapshots.create(version, configurationOnly),
       applySnapshot: (snapshot, queriedAt) => {
-        this.applySnapshot(snapshot, queriedAt);
+        snapshots.apply(snapshot, queriedAt);
       },
     });
   }
@@ -167,7 +181,7 @@
       readClock: () => this.readClock(),
       readMonotonicClock: () => performance.now(),
       onUpstreamStarted: (upstream: UpstreamId) => {
-        void this.discoverGroup(upstream);
+        this.startGroupDiscovery(upstream);
       },
       queryPeers: (configurationOnly: boolean) =>
         this.peers.queryAll(this.configurationCache.version, configurationOnly),
@@ -250,78 +264,6 @@
     };
   }
 
-  private createSnapshot(version: number, configurationOnly: boolean): StateSnapshot {
-    const now = this.readClock();
-    const proofAgeMs = this.configurationCache.computeAge(now);
-    const listingAgeMs = this.directory.computeAge(now);
-    const held = this.configurationCache.current;
-    const { current: era } = this.storeEra;
-    const monotonicNow = performance.now();
-    return {
-      ...(era !== undefined && this.storeEra.isConfirmed(monotonicNow)
-        ? { era, isEraComplete: this.storeEra.isComplete(monotonicNow) }
-        : {}),
-      version: this.configurationCache.version,
-      ...(Number.isFinite(proofAgeMs) ? { proofAgeMs } : {}),
-      ...(held !== undefined && this.configurationCache.version > version
-        ? { document: held.document }
-        : {}),
-      ...(Number.isFinite(listingAgeMs) && !configurationOnly
-        ? { listingAgeMs, listingEra: this.directory.era }
-        : {}),
-      upstreams: configurationOnly ? [] : this.listRelayed(),
-    };
-  }
-
-  private listRelayed(): StateSnapshot['upstreams'] {
-    return this.directory.listAll().map(({ startedAt, heartbeat, ...entry }) => ({
-      ...entry,
-      ...(startedAt === undefined ? {} : { startedAt }),
-      ...(heartbeat === undefined ? {} : { heartbeat }),
-    }));
-  }
-
-  private applySnapshot(snapshot: StateSnapshot, queriedAt: number): void {
-    const { logger, source } = this.dependencies;
-    const { version, proofAgeMs, document, listingAgeMs, era, isEraComplete } = snapshot;
-    const isCurrent = this.storeEra.observePeer(era, isEraComplete === true, performance.now());
-    const validatedAt = isCurrent && proofAgeMs !== undefined ? queriedAt - proofAgeMs : -Infinity;
-    this.configurationCache.revalidate(version, validatedAt);
-    if (document !== undefined && version > this.configurationCache.version) {
-      const decoded = source.decodeDocument(document);
-      if (decoded.isErr()) {
-        logger.warn(
-          { code: decoded.error.code, detail: decoded.error.message },
-          'cannot decode the configuration received from a peer',
-        );
-      } else if (this.configurationCache.applyRead(decoded.value, validatedAt, document)) {
-        logger.info(
-          { configurationVersion: version, proofAgeMs },
-          'configuration of a peer in force',
-        );
-        this.applyLimits();
-      }
-    }
-    if (listingAgeMs === undefined) return;
-    const upstreams = snapshot.upstreams.map((entry) => ({
-      ...entry,
-      id: toId<UpstreamId>(entry.id),
-      service: toId<ServiceId>(entry.service),
-      availabilityZone: toId<AvailabilityZoneId>(entry.availabilityZone),
-    }));
-    const changes = this.directory.applyListing(
-      upstreams,
-      queriedAt - listingAgeMs,
-      performance.now(),
-      snapshot.listingEra,
-    );
-    for (const { upstream, change } of changes) {
-      if (change === 'added' || change === 'restarted') void this.discoverGroup(upstream);
-      if (change !== 'held')
-        logger.info({ upstream, change }, 'upstream list of a peer taken over');
-    }
-  }
-
   private isConfigured(): boolean {
     return (
       this.configurationCache.current !== undefined && this.storeEra.isConfirmed(performance.now())
@@ -342,34 +284,15 @@
     );
   }
 
-  /** Probes a new engine for its group, which does not change while the engine runs. */
-  private async discoverGroup(id: UpstreamId): Promise<void> {
-    const { probe, logger } = this.dependencies;
-    const { health } = this.balancer;
-    for (let attempt = 0; attempt < MAX_GROUP_PROBES; attempt += 1) {
-      const entry = this.directory.findEntry(id);
-      if (entry === undefined) return;
-      const service = this.configurationCache.current?.configuration.services.get(entry.service);
-      if (service !== undefined) {
-        if (service.engine?.experts === undefined) return;
-        // Until its group is known, an engine shares a placeholder group with the others of the service: when one of
-        // them refuses work, the refusal may apply to all of them.
-        if (attempt === 0) health.setGroup(id, `unknown groups of ${entry.service}`);
-        const read = await probe.readGroup(entry.address);
-        if (read.isOk()) {
-          health.setGroup(id, read.value?.name);
-          logger.info({ upstream: id, ...read.value }, 'group of an upstream learned');
-          if (read.value?.isOpen === false) health.recordFailure(id, this.readClock());
-          return;
-        }
-      }
-      await sleep(GROUP_PROBE_RETRY_INTERVAL_MS);
-    }
-    health.setGroup(id, undefined);
-    logger.warn(
-      { upstream: id },
-      'could not read the group of an upstream; treating it as ungrouped',
-    );
+  private startGroupDiscovery(upstream: UpstreamId): void {
+    const options = {
+      ...this.dependencies,
+      configurationCache: this.configurationCache,
+      directory: this.directory,
+      health: this.balancer.health,
+      readClock: () => this.readClock(),
+    };
+    void discoverGroup(options, upstream);
   }
 
   private readClock(): number {
