--- a/test/failures/callerResponses.spec.ts
+++ b/test/failures/callerResponses.spec.ts
@@ -192,4 +192,13 @@
     expect(received).to.not.include(formatEvent(2));
     expect(end).to.equal('reset');
   });
+
+  // A transfer encoding other than chunked gives no length, so the body may be truncated where the connection ends.
+  it('guards against adding a content length to a body whose transfer encoding gives none', async () => {
+    await start((socket, { requestId }) => {
+      socket.end(`${formatHead(requestId, ['Transfer-Encoding: identity'])}half of a bal`);
+    });
+    const { received } = await call('/pay/a', 'question');
+    expect(received).to.not.match(/^HTTP\/1.1 200 [^]*content-length/i);
+  });
 });
