ranker: base a map order on the call of an earlier one instead of its version

A refused second map of a version, still unanswered when the next order leaves, would make that rank expand the next map from another base than the others, and the ranks would hold two maps under one version (MAP). The base is now the call of the confirmed order, which is unique on its link. Evidence: the new spec fails on the code before (rows of the second map in the third) and passes now; the 20 tests of orders, planning and validators pass.

--- a/src/process/ranker/rankerDaemon.ts
+++ b/src/process/ranker/rankerDaemon.ts
@@ -203,7 +203,7 @@
   }
 
   private async executeOrder(message: MessageOf<'rankOrder'>, link: PeerLink): Promise<void> {
-    const order = this.coordinators.get(link)?.decodeOrder(message.order);
+    const order = this.coordinators.get(link)?.decodeOrder(message);
     const outcome =
       order === undefined ? 'unknown' : await this.sendOrderToEngine(order, message.epoch);
     link.send({ type: 'rankOrderReply', call: message.call, outcome });
--- a/src/process/ranker/remoteRankOrders.spec.ts
+++ b/src/process/ranker/remoteRankOrders.spec.ts
@@ -48,8 +48,9 @@
     const frame = encodeFrame(message);
     exchange.bytes += frame.length;
     const received = decodeBody(frame.subarray(FRAME_HEADER_BYTES)).unwrap();
-    const { call, order } = received as MessageOf<'rankOrder'>;
-    const decoded = decoder.decodeOrder(order);
+    const rankOrder = received as MessageOf<'rankOrder'>;
+    const { call } = rankOrder;
+    const decoded = decoder.decodeOrder(rankOrder);
     exchange.orders.push(decoded);
     const outcome = decoded === undefined ? 'unknown' : answer(decoded);
     void nextTurn().then(() => {
@@ -89,9 +90,8 @@
     await exchange.remote.sendOrder({ kind: 'prepare', version: 1, placement: first }, 1);
     const restarted = new RankOrderDecoder();
     const rows = encodePlacement(second, first);
-    expect(restarted.decodeOrder({ kind: 'prepare', version: 2, base: 1, rows })).to.equal(
-      undefined,
-    );
+    const order = { kind: 'prepare', version: 2, base: 1, rows } as const;
+    expect(restarted.decodeOrder({ call: 2, order })).to.equal(undefined);
     const lost = createExchange(encoder, ({ kind }) => (kind === 'prepare' ? 'unknown' : 'done'));
     for (const version of [2, 3]) {
       await lost.remote.sendOrder({ kind: 'prepare', version, placement: second }, 1);
@@ -99,6 +99,27 @@
     }
   });
 
+  // Ranks that built a map on different ones would hold different maps under one version.
+  it('guards against a map that rests on another one of the same version', async () => {
+    const first = createPlacement();
+    const second = changeRows(first, 1);
+    const third = changeRows(first, 2);
+    let replies = 0;
+    // The second order of a version is refused, and the third order leaves before this reply.
+    const exchange = createExchange(new SharedPlacementEncoder(), () => {
+      replies += 1;
+      return replies === 2 ? undefined : 'begun';
+    });
+    const { remote, orders } = exchange;
+    await remote.sendOrder({ kind: 'prepare', version: 1, placement: first }, 1);
+    const refused = remote.sendOrder({ kind: 'prepare', version: 1, placement: second }, 1);
+    const order = { kind: 'prepare', version: 2, placement: third } as const;
+    await remote.sendOrder(order, 1);
+    expect(orders.at(-1)).to.deep.equal(order);
+    remote.receiveReply({ call: 2, outcome: 'refused' });
+    await refused;
+  });
+
   it('guards against a wrong or partial map from malformed bytes', () => {
     const base = createPlacement();
     fc.assert(
--- a/src/process/ranker/remoteRankOrders.ts
+++ b/src/process/ranker/remoteRankOrders.ts
@@ -41,8 +41,8 @@
 export class RemoteRank {
   private readonly calls = new Map<number, (outcome: OrderOutcome) => void>();
   private nextCallId = 1;
-  /** Latest map that the ranker is known to have. */
-  private confirmed: { version: number; placement: GroupPlacement } | undefined;
+  /** Call of an order whose map the ranker is known to have; versions may name two maps, calls do not. */
+  private confirmed: { call: number; placement: GroupPlacement } | undefined;
 
   constructor(
     private readonly link: Link,
@@ -57,11 +57,12 @@
    * @returns Outcome; `unknown` without a reply in time
    */
   async sendOrder(order: RankOrder, epoch: number): Promise<OrderOutcome> {
-    const outcome = await this.call(this.encodeOrder(order), epoch);
+    const call = this.nextCallId;
+    this.nextCallId += 1;
+    const outcome = await this.performCall(call, this.encodeOrder(order), epoch);
     if (order.kind === 'prepare') {
       const isConfirmed = outcome === 'begun' || outcome === 'done';
-      const { version, placement } = order;
-      this.confirmed = isConfirmed ? { version, placement } : undefined;
+      this.confirmed = isConfirmed ? { call, placement: order.placement } : undefined;
     }
     return outcome;
   }
@@ -79,13 +80,11 @@
     if (order.kind !== 'prepare') return order;
     const { kind, version, placement } = order;
     const rows = this.encoder.encode(placement, this.confirmed?.placement);
-    const base = this.confirmed?.version;
+    const base = this.confirmed?.call;
     return { kind, version, rows, ...(base === undefined ? {} : { base }) };
   }
 
-  private call(order: WireOrder, epoch: number): Promise<OrderOutcome> {
-    const call = this.nextCallId;
-    this.nextCallId += 1;
+  private performCall(call: number, order: WireOrder, epoch: number): Promise<OrderOutcome> {
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         this.calls.get(call)?.('unknown');
@@ -102,15 +101,19 @@
 
 /** Expands the orders that arrive over one link. */
 export class RankOrderDecoder {
+  /** Maps of earlier orders by call. */
   private readonly placements = new Map<number, GroupPlacement>();
 
   /**
    * Expands an order.
    *
-   * @param order - Order as received
+   * @param message - Order as received
    * @returns The order for the engine, or undefined if it rests on a map that this ranker does not have
    */
-  decodeOrder(order: WireOrder): RankOrder | undefined {
+  decodeOrder({
+    call,
+    order,
+  }: Pick<MessageOf<'rankOrder'>, 'call' | 'order'>): RankOrder | undefined {
     if (order.kind !== 'prepare') return order;
     const { kind, version, base, rows } = order;
     const basePlacement = base === undefined ? undefined : this.placements.get(base);
@@ -118,8 +121,7 @@
     const decoded = decodePlacement(rows, basePlacement);
     if (decoded.isErr()) return undefined;
     const placement = decoded.value;
-    this.placements.delete(version);
-    this.placements.set(version, placement);
+    this.placements.set(call, placement);
     for (const oldest of this.placements.keys()) {
       if (this.placements.size <= MAX_REMEMBERED_MAPS) break;
       this.placements.delete(oldest);
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -261,7 +261,7 @@
     z.object({
       kind: z.literal('prepare'),
       version: count,
-      /** Version of an earlier order to prepare over this link whose map the rows change; without it, `rows` has all. */
+      /** Call of an earlier order to prepare over this link whose map the rows change; without it, `rows` has all. */
       base: count.optional(),
       rows: bytes,
     }),
