--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -4,6 +4,8 @@
 import { ChangeOverhead } from './changeCosts.js';
 import type { ChangeContext } from './changeMap.js';
 import { changeMap, completeHeldChange, releasePass } from './changeMap.js';
+import { ChangeTimer } from './changeTimer.js';
+import { computeSkew } from './computeSkew.js';
 import type { GroupView, RankState } from './groupView.js';
 import type { ExpertLayout } from './types.js';
 
@@ -98,6 +100,7 @@
   if (placement === undefined || demand === undefined || demand.total < MIN_SELECTIONS)
     return false;
   if (states.some(({ report }) => report.armed !== undefined)) return false;
+  const plannedAt = readClock();
   const plan = planCopies(demand.getLoad(), placement, {
     slotsPerRank: layout.slotsPerRank,
     maxLoadsPerLayer: layout.maxLoadsPerLayer,
@@ -107,17 +110,25 @@
     persistenceMs: PERSISTENCE_MS,
     expertShare: layout.expertShare,
   });
-  if (plan.savedMs < MIN_SAVED_MS) return false;
   const startedAt = readClock();
+  metrics.recordLatency('map_plan', startedAt - plannedAt);
+  if (plan.savedMs < MIN_SAVED_MS) return false;
   const epoch = states[0]?.report.epoch ?? 0;
   const version = versions.issue(states);
+  const timer = new ChangeTimer(startedAt);
+  context.timer = timer;
   const outcome = await changeMap(context, { version, epoch, placement: plan.placement });
+  context.timer = undefined;
+  const durations = timer.describe();
+  const inUse = outcome === 'switched' ? plan.placement : placement;
   if (outcome === 'not_prepared') versions.skip(VERSION_SKIP);
   const tookMs = readClock() - startedAt;
   if (outcome === 'switched') overhead.recordChange(tookMs, plan.copiesPerRank * layout.copyMs);
   metrics.addCount(`map_change_${outcome}`);
   metrics.addCount('map_copies', plan.copies);
   metrics.recordLatency('map_change', tookMs);
+  metrics.recordLatency('map_change_wait', durations.waitedMs ?? 0);
+  metrics.recordLatency('order_round_trip', durations.longestOrderMs);
   logger.info(
     {
       group: view.group,
@@ -129,8 +140,13 @@
       drops: plan.drops,
       skewBefore: round(plan.skewBefore),
       skewPlanned: round(plan.skewAfter),
+      skewAfter: round(computeSkew(demand.getLoad(), inUse)),
       demand: Math.round(demand.total),
       tookMs: Math.round(tookMs),
+      ...durations,
+      planMs: Math.round(startedAt - plannedAt),
+      passMs: Math.round(view.passClock.passMs ?? 0),
+      receivedBytes: metrics.getCount('link_received_bytes'),
       pass: states[0]?.report.pass,
     },
     'expert map changed',
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -205,6 +205,12 @@
   proofAgeMs: z.number().nonnegative().optional(),
   document: z.string().optional(),
   listingAgeMs: z.number().nonnegative().optional(),
+  /** Newest era of the store known to the sender; omitted if it knows none. */
+  era: count.optional(),
+  /** What the store lost when that era began has been written again, so reads are complete. */
+  isEraComplete: z.boolean().optional(),
+  /** Era of the store in which the listing was read. */
+  listingEra: count.optional(),
   upstreams: z.array(
     z.object({
       id,
@@ -214,13 +220,14 @@
       slots: count,
       isDraining: z.boolean(),
       startedAt: count.optional(),
+      heartbeat: count.optional(),
     }),
   ),
 });
 
 const layerExperts = z.array(z.array(count));
 
-/** Ranker to coordinator: report of the rank, and the expert selections counted since the last status. */
+/** Ranker to coordinator: report of the rank, sent when it has changed and otherwise as a heartbeat. */
 const rankStatus = z.object({
   type: z.literal('rankStatus'),
   report: z.object({
@@ -238,19 +245,33 @@
     running: count,
     queued: count,
   }),
-  /** Selections by layer and expert, flattened layer by layer; empty if not read for this status. */
-  choices: z.array(count),
   /** Set if the active expert map has changed. */
   experts: layerExperts.optional(),
 });
 
+/** Ranker to coordinator: expert selections of the rank since the last such message; sent after its first `rankStatus`. */
+const rankSelections = z.object({
+  type: z.literal('rankSelections'),
+  epoch: count,
+  /** Selections per unit of a packed count. */
+  scale: count,
+  /** Counts by layer and expert, flattened layer by layer, two to a byte. */
+  counts: bytes,
+});
+
 /** Coordinator to ranker: an order for the rank of this ranker. */
 const rankOrder = z.object({
   type: z.literal('rankOrder'),
   call: count,
   epoch: count,
   order: z.discriminatedUnion('kind', [
-    z.object({ kind: z.literal('prepare'), version: count, placement: z.array(layerExperts) }),
+    z.object({
+      kind: z.literal('prepare'),
+      version: count,
+      /** Version of an earlier order to prepare over this link whose map the rows change; without it, `rows` has all. */
+      base: count.optional(),
+      rows: bytes,
+    }),
     z.object({ kind: z.literal('arm'), version: count, pass: count }),
     z.object({ kind: z.literal('disarm'), version: count }),
     z.object({ kind: z.literal('hold'), pass: count }),
@@ -289,6 +310,7 @@
   knowledgeAsk,
   knowledgeReply,
   rankStatus,
+  rankSelections,
   rankOrder,
   rankOrderReply,
 } as const;
--- a/src/request/forwarding/types.ts
+++ b/src/request/forwarding/types.ts
@@ -21,6 +21,8 @@
   readonly metrics: Metrics;
   /** Monotonic clock that includes time suspended, in milliseconds. */
   readClock(): number;
+  /** False after start-up until the initial configuration is known and may be relied on. */
+  isConfigured(): boolean;
   /** Waits after start-up for the initial configuration and upstream list. */
   waitUntilConfigured(timeoutMs: number): Promise<void>;
   getQueue(service: ServiceId): AdmissionQueue;
@@ -42,7 +44,7 @@
   /** Complete response that is not an event stream. */
   | { readonly kind: 'answered'; readonly head: ResponseHead; readonly body: Buffer }
   /** Event stream that ended as its framing declares; all events were forwarded. */
-  | { readonly kind: 'streamed' }
+  | { readonly kind: 'streamed'; readonly head: ResponseHead }
   /** No byte of the request left this process. */
   | { readonly kind: 'not_sent'; readonly reason: string }
   /** The upstream reported that the request has not run. */
--- a/test/support/gatewayFixture.ts
+++ b/test/support/gatewayFixture.ts
@@ -12,6 +12,9 @@
 import { reservePorts } from './ports.js';
 import { waitUntil } from './waiting.js';
 
+/** Fields of a worker that its entry in the upstream list names. */
+export type PublishedWorker = Pick<WorkerStandIn, 'id' | 'port'>;
+
 export interface GatewayFixture {
   readonly store: StoreStandIn;
   /** One store per gateway with `separateStores`, otherwise one; all hold the same items. */
@@ -19,8 +22,10 @@
   readonly workers: WorkerStandIn[];
   readonly gateways: GatewayDaemon[];
   readonly urls: string[];
-  publishWorker(worker: WorkerStandIn, fields?: object): void;
+  publishWorker(worker: PublishedWorker, fields?: object): void;
   publishConfiguration(version: number, fields?: object): void;
+  /** Starts the next gateway when `started` has left some out; resolves without waiting until it is ready. */
+  startNextGateway(): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -34,6 +39,7 @@
 
 const routes = [
   { name: 'chat', prefix: '/chat/', routeType: 'streaming', resumable: true, maxAttempts: 2 },
+  { name: 'talk', prefix: '/talk/', routeType: 'streaming', resumable: false, maxAttempts: 2 },
   { name: 'lookup', prefix: '/lookup/', routeType: 'idempotent', maxAttempts: 2 },
   { name: 'pay', prefix: '/pay/', routeType: 'non_idempotent', maxAttempts: 2 },
   { name: 'open', prefix: '/open/', routeType: 'idempotent', maxAttempts: 2, public: true },
@@ -48,9 +54,15 @@
 export async function startGatewayFixture(
   options: {
     workers?: number;
+    /** Workers started by the test, published beside those that the fixture starts. */
+    ownWorkers?: readonly PublishedWorker[];
     gateways?: number;
     settings?: Partial<GatewaySettings>;
     separateStores?: boolean;
+    /** Number of gateways that are started at once, all by default. */
+    started?: number;
+    /** Initial value of the era header of the stores, which they do not send by default. */
+    era?: number;
     /** Called when a gateway listens but has not yet read the store. */
     onListening?: (url: string, store: StoreStandIn) => void;
   } = {},
@@ -64,11 +76,12 @@
   const putInAllStores = (key: string, value: unknown): void => {
     for (const target of stores) target.put(key, value);
   };
+  for (const target of stores) target.era = options.era;
   const workers: WorkerStandIn[] = [];
   for (let index = 0; index < (options.workers ?? 2); index += 1) {
     workers.push(await startPlatformWorker(`i-${index}`));
   }
-  const publishWorker = (worker: WorkerStandIn, fields: object = {}): void => {
+  const publishWorker = (worker: PublishedWorker, fields: object = {}): void => {
     putInAllStores(`servers/${worker.id}`, {
       service: 'assistant',
       address: `127.0.0.1:${worker.port}`,
@@ -107,12 +120,13 @@
     });
   };
   publishConfiguration(1);
-  for (const worker of workers) publishWorker(worker);
+  for (const worker of [...workers, ...(options.ownWorkers ?? [])]) publishWorker(worker);
   const ports = await reservePorts(count * 3);
   const seeds = ports.slice(0, count).map((port) => `127.0.0.1:${port}`);
   const gateways: GatewayDaemon[] = [];
   const urls: string[] = [];
-  for (let index = 0; index < count; index += 1) {
+  const startNextGateway = async (): Promise<number> => {
+    const index = gateways.length;
     const [linkPort = 0, frontPort = 0, readyPort = 0] = [
       index,
       count + index,
@@ -146,7 +160,10 @@
     options.onListening?.(`http://127.0.0.1:${frontPort}`, store);
     gateways.push(daemon);
     urls.push(`http://127.0.0.1:${frontPort}`);
-    const readyUrl = `http://127.0.0.1:${readyPort}/ready`;
+    return readyPort;
+  };
+  for (let index = 0; index < (options.started ?? count); index += 1) {
+    const readyUrl = `http://127.0.0.1:${await startNextGateway()}/ready`;
     await waitUntil('gateway ready', async () => (await request(readyUrl)).statusCode === 200);
   }
   return {
@@ -157,6 +174,9 @@
     urls,
     publishWorker,
     publishConfiguration,
+    startNextGateway: async () => {
+      await startNextGateway();
+    },
     close: async () => {
       for (const gateway of gateways) gateway.stop();
       for (const worker of workers) await worker.close();
