ranker: decide on a map change by the measured stop of the group

A change had to save 0.4 of its time without copies, an estimate of the time for which the group stands still that fits the slow orders before the compact links only.

The decision now uses the average of the waits that the change timer measures.

--- a/src/process/ranker/changeCosts.spec.ts
+++ b/src/process/ranker/changeCosts.spec.ts
@@ -13,14 +13,27 @@
   // Guards against plans that assume fast changes while orders are slow.
   it('guards against an overhead that does not follow slow changes', () => {
     const overhead = new ChangeOverhead();
-    for (let change = 0; change < 10; change += 1) overhead.recordChange(700, 100);
+    for (let change = 0; change < 10; change += 1)
+      overhead.recordChange({ tookMs: 700, copyMs: 100, waitedMs: 0 });
     expect(overhead.averageMs).to.be.closeTo(600, 20);
   });
 
   // Guards against a negative overhead when copies take less time than computed.
   it('guards against an overhead below zero', () => {
     const overhead = new ChangeOverhead();
-    for (let change = 0; change < 10; change += 1) overhead.recordChange(50, 100);
+    for (let change = 0; change < 10; change += 1)
+      overhead.recordChange({ tookMs: 50, copyMs: 100, waitedMs: 0 });
     expect(overhead.averageMs).to.be.within(0, 100);
   });
+
+  // Guards against changes that are made although the group stands still for longer than they save.
+  it('guards against a stop that is not taken from the measured waits', () => {
+    const overhead = new ChangeOverhead();
+    for (let change = 0; change < 10; change += 1)
+      overhead.recordChange({ tookMs: 700, copyMs: 100, waitedMs: 300 });
+    expect(overhead.averageStopMs).to.be.closeTo(300, 10);
+    for (let change = 0; change < 20; change += 1)
+      overhead.recordChange({ tookMs: 200, copyMs: 100, waitedMs: -40 });
+    expect(overhead.averageStopMs).to.be.within(0, 1);
+  });
 });
--- a/src/process/ranker/changeCosts.ts
+++ b/src/process/ranker/changeCosts.ts
@@ -20,19 +20,23 @@
   return (expertMegabytes * BITS_PER_BYTE * MS_PER_SECOND) / transferMegabitsPerSecond;
 }
 
-/** Moving average of the time that changes take apart from their copies. */
+/** Moving averages of what changes cost apart from their copies. */
 export class ChangeOverhead {
-  /** Milliseconds. */
+  /** Time from the plan to the switch without the copies, in milliseconds. */
   averageMs = INITIAL_OVERHEAD_MS;
+  /** Time for which the group stood still at the switch, in milliseconds. */
+  averageStopMs = 0;
 
   /**
    * Records a change that all ranks have made.
    *
-   * @param tookMs - Time from the plan to the switch
-   * @param copyMs - Time of the copies of the rank that made the most
+   * @param change - Time from the plan to the switch, time of the copies of the rank that made the most, and time for
+   * which the group waited before the held pass, negative if it did not wait
    */
-  recordChange(tookMs: number, copyMs: number): void {
-    const overheadMs = Math.max(0, tookMs - copyMs);
+  recordChange(change: { tookMs: number; copyMs: number; waitedMs: number }): void {
+    const overheadMs = Math.max(0, change.tookMs - change.copyMs);
+    const stopMs = Math.max(0, change.waitedMs);
     this.averageMs += LATEST_WEIGHT * (overheadMs - this.averageMs);
+    this.averageStopMs += LATEST_WEIGHT * (stopMs - this.averageStopMs);
   }
 }
--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -12,9 +12,7 @@
 /** Demand shifts to other experts every 2.4 to 4 s. */
 const PERSISTENCE_MS = 3_000;
 /** A change that saves less pass time is not worth its orders and the next change that it delays. */
-const MIN_SAVED_MS = 80;
-/** Share of the overhead of a change during which the group is held, as measured with 32 ranks. */
-const STOPPED_SHARE = 0.4;
+const MIN_SAVED_MS = 120;
 /** Expert selections required before planning; with fewer, chance determines which expert appears popular. */
 const MIN_SELECTIONS = 6_000;
 /** Interval between two evaluations of the demand while no change is needed. */
@@ -106,7 +104,7 @@
     maxLoadsPerLayer: layout.maxLoadsPerLayer,
     copyMs: layout.copyMs,
     overheadMs: overhead.averageMs,
-    stopMs: overhead.averageMs * STOPPED_SHARE,
+    stopMs: overhead.averageStopMs,
     persistenceMs: PERSISTENCE_MS,
     expertShare: layout.expertShare,
   });
@@ -123,7 +121,10 @@
   const inUse = outcome === 'switched' ? plan.placement : placement;
   if (outcome === 'not_prepared') versions.skip(VERSION_SKIP);
   const tookMs = readClock() - startedAt;
-  if (outcome === 'switched') overhead.recordChange(tookMs, plan.copiesPerRank * layout.copyMs);
+  if (outcome === 'switched') {
+    const copyMs = plan.copiesPerRank * layout.copyMs;
+    overhead.recordChange({ tookMs, copyMs, waitedMs: durations.waitedMs ?? 0 });
+  }
   metrics.addCount(`map_change_${outcome}`);
   metrics.addCount('map_copies', plan.copies);
   metrics.recordLatency('map_change', tookMs);
