--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '../logging.js';
 import type { Metrics } from '../metrics.js';
 import { planCopies } from '../../version/placement/copyPlan.js';
+import { ChangeOverhead } from './changeCosts.js';
 import type { ChangeContext } from './changeMap.js';
 import { changeMap, completeHeldChange, releasePass } from './changeMap.js';
 import { ChangeTimer } from './changeTimer.js';
@@ -10,12 +11,10 @@
 import { PlanRate } from './planRate.js';
 import type { ExpertLayout } from './types.js';
 
-/** A rank makes the copies of one change sequentially; one copy takes 0.15 s at 92 Gbit/s. */
-const MAX_COPIES_PER_RANK = 1;
-/** A copy that saves a smaller share of the group's expert time costs more than it gains. */
-const MIN_GAIN = 0.008;
-/** A change that reduces skew by less is not worth its orders and reads. */
-const MIN_SKEW_REDUCTION = 0.04;
+/** Demand shifts to other experts every 2.4 to 4 s. */
+const PERSISTENCE_MS = 3_000;
+/** A change that saves less pass time is not worth its orders and the next change that it delays. */
+const MIN_SAVED_MS = 120;
 /** Expert selections required before planning; with fewer, chance determines which expert appears popular. */
 const MIN_SELECTIONS = 6_000;
 /** Interval between two checks of the group while no change is in progress. */
@@ -35,6 +34,13 @@
   readonly getLayout: () => ExpertLayout | undefined;
 }
 
+/** What the coordinator keeps from one change to the next. */
+interface ChangeHistory {
+  readonly versions: VersionSource;
+  readonly planRate: PlanRate;
+  readonly overhead: ChangeOverhead;
+}
+
 /**
  * Rebalances the experts of one group according to the demand of its requests, until aborted. Runs next to rank 0.
  *
@@ -48,8 +54,11 @@
     firstUnusedPass: 0,
     lastUnansweredOrderAt: -Infinity,
   };
-  const versions = new VersionSource(options.readWallClock());
-  const planRate = new PlanRate();
+  const history: ChangeHistory = {
+    versions: new VersionSource(options.readWallClock()),
+    planRate: new PlanRate(),
+    overhead: new ChangeOverhead(),
+  };
   while (!signal.aborted) {
     const states = view.listIfComplete(readClock());
     const layout = options.getLayout();
@@ -59,8 +68,7 @@
     }
     const hadOrphanedHold = await resolveOrphanedHold(options, context, states);
     const hadChange =
-      !hadOrphanedHold &&
-      (await rebalance(options, context, { versions, planRate }, states, layout));
+      !hadOrphanedHold && (await rebalance(options, context, history, states, layout));
     if (!hadChange) {
       await sleep(IDLE_POLL_INTERVAL_MS, undefined, { signal }).catch(() => undefined);
     }
@@ -92,11 +100,12 @@
 async function rebalance(
   options: CoordinatorOptions,
   context: ChangeContext,
-  { versions, planRate }: { readonly versions: VersionSource; readonly planRate: PlanRate },
+  history: ChangeHistory,
   states: readonly RankState[],
   layout: ExpertLayout,
 ): Promise<boolean> {
   const { view, logger, metrics, readClock } = options;
+  const { versions, planRate, overhead } = history;
   const placement = view.assemblePlacement(states);
   const demand = view.demand;
   if (placement === undefined || demand === undefined || demand.total < MIN_SELECTIONS)
@@ -107,13 +116,16 @@
   const plan = planCopies(demand.getLoad(), placement, {
     slotsPerRank: layout.slotsPerRank,
     maxLoadsPerLayer: layout.maxLoadsPerLayer,
-    maxCopiesPerRank: MAX_COPIES_PER_RANK,
-    minGain: MIN_GAIN,
+    copyMs: layout.copyMs,
+    overheadMs: overhead.averageMs,
+    stopMs: overhead.averageStopMs,
+    persistenceMs: PERSISTENCE_MS,
+    expertShare: layout.expertShare,
   });
   const startedAt = readClock();
   planRate.recordPlan(plannedAt, startedAt);
   metrics.recordLatency('map_plan', startedAt - plannedAt);
-  if (plan.skewBefore - plan.skewAfter < MIN_SKEW_REDUCTION) return false;
+  if (plan.savedMs < MIN_SAVED_MS) return false;
   const epoch = states[0]?.report.epoch ?? 0;
   const version = versions.issue(states);
   const timer = new ChangeTimer(startedAt);
@@ -123,9 +135,14 @@
   const durations = timer.describe();
   const inUse = outcome === 'switched' ? plan.placement : placement;
   if (outcome === 'not_prepared') versions.skip(VERSION_SKIP);
+  const tookMs = readClock() - startedAt;
+  if (outcome === 'switched') {
+    const copyMs = plan.copiesPerRank * layout.copyMs;
+    overhead.recordChange({ tookMs, copyMs, waitedMs: durations.waitedMs ?? 0 });
+  }
   metrics.addCount(`map_change_${outcome}`);
   metrics.addCount('map_copies', plan.copies);
-  metrics.recordLatency('map_change', readClock() - startedAt);
+  metrics.recordLatency('map_change', tookMs);
   metrics.recordLatency('map_change_wait', durations.waitedMs ?? 0);
   metrics.recordLatency('order_round_trip', durations.longestOrderMs);
   logger.info(
@@ -135,12 +152,13 @@
       version,
       outcome,
       copies: plan.copies,
+      copiesPerRank: plan.copiesPerRank,
       drops: plan.drops,
       skewBefore: round(plan.skewBefore),
       skewPlanned: round(plan.skewAfter),
       skewAfter: round(computeSkew(demand.getLoad(), inUse)),
       demand: Math.round(demand.total),
-      tookMs: Math.round(readClock() - startedAt),
+      tookMs: Math.round(tookMs),
       ...durations,
       planMs: Math.round(startedAt - plannedAt),
       passMs: Math.round(view.passClock.passMs ?? 0),
--- a/src/process/ranker/groupLinks.ts
+++ b/src/process/ranker/groupLinks.ts
@@ -5,6 +5,7 @@
 import type { Logger } from '../logging.js';
 import type { Metrics } from '../metrics.js';
 import type { RankerSettings } from '../settings/rankerSettings.js';
+import { computeCopyMs } from './changeCosts.js';
 import type { GroupView } from './groupView.js';
 import { RemoteRank, SharedPlacementEncoder } from './remoteRankOrders.js';
 import type { PackedSelections } from './selectionCodec.js';
@@ -54,6 +55,8 @@
             expertsPerLayer: experts.expertsPerSet,
             slotsPerRank: experts.slotsPerRank,
             maxLoadsPerLayer: experts.maxLoadsPerLayer,
+            copyMs: computeCopyMs(experts),
+            expertShare: experts.expertShare,
           };
         }
       }
