--- a/src/process/ranker/coordinator.spec.ts
+++ b/src/process/ranker/coordinator.spec.ts
@@ -12,7 +12,14 @@
 const STATUS_INTERVAL_MS = 4;
 /** The group is checked every 80 ms. */
 const MAX_PLANS = 12;
-const layout = { layers: 1, expertsPerLayer: 4, slotsPerRank: 1, maxLoadsPerLayer: 1 };
+const layout = {
+  layers: 1,
+  expertsPerLayer: 4,
+  slotsPerRank: 1,
+  maxLoadsPerLayer: 1,
+  copyMs: 37,
+  expertShare: 0.85,
+};
 const logger = {
   debug: () => undefined,
   info: () => undefined,
