ranker: report no wait at a held pass while the group is idle

What callers saw: nothing; the log of changes showed waits of 95 to 412 ms where no pass was due. Cause: the start of the held pass was estimated from the time of a pass although an idle group begins none. The extended spec fails without the check.

--- a/src/process/ranker/passClock.spec.ts
+++ b/src/process/ranker/passClock.spec.ts
@@ -41,6 +41,8 @@
     }
     clock.observe(createReport(17, { running: 0 }), 1_540);
     clock.observe(createReport(17, { running: 0 }), 9_000);
+    // A change of an idle group does not wait.
+    expect(clock.estimateStart(18)).to.equal(undefined);
     clock.observe(createReport(17, { held: 18 }), 9_140);
     clock.observe(createReport(17, { held: 18 }), 12_000);
     clock.observe(createReport(18), 12_080);
--- a/src/process/ranker/passClock.ts
+++ b/src/process/ranker/passClock.ts
@@ -20,6 +20,7 @@
       }
     | undefined;
   private observedAt = -Infinity;
+  private isIdle = false;
 
   /**
    * Evaluates a report.
@@ -35,9 +36,9 @@
       this.latest = { epoch, pass, seenAt: now, uncertaintyMs };
     }
     this.observedAt = now;
-    const isIdle = report.running === 0;
+    this.isIdle = report.running === 0;
     const isHeld = report.held !== undefined && report.held <= pass + 1;
-    if (this.sampled === undefined || isIdle || isHeld) {
+    if (this.sampled === undefined || this.isIdle || isHeld) {
       this.sampled = { pass, at: now };
       return;
     }
@@ -54,10 +55,10 @@
    * Estimates when a pass begins.
    *
    * @param pass - Pass number
-   * @returns Time in milliseconds, undefined until passes have been measured
+   * @returns Time in milliseconds, undefined while the group is idle and until passes have been measured
    */
   estimateStart(pass: number): number | undefined {
-    if (this.latest === undefined || this.passMs === undefined) return undefined;
+    if (this.isIdle || this.latest === undefined || this.passMs === undefined) return undefined;
     return this.latest.seenAt + (pass - this.latest.pass) * this.passMs;
   }
 
