fix: leave a complete change alone when an older hold executes late

Cause: a hold for pass 20 remained unanswered and the change was made for pass 21 instead. With all ranks armed and pass 21 released, the old hold executed late. The coordinator took the held pass for that of the change, armed the same version for pass 20, and late orders to arm it for pass 21 then moved some ranks back. A pass whose hold this coordinator sent in vain, or for which all ranks are armed differently, is only released.

--- a/bench/proofs/heldMaps.ts
+++ b/bench/proofs/heldMaps.ts
@@ -2,7 +2,7 @@
 import { mock } from 'node:test';
 import seedrandom from 'seedrandom';
 import type { ChangeOutcome, MapChange } from '../../src/process/ranker/changeMap.js';
-import { changeMap, completeHeldChange, releasePass } from '../../src/process/ranker/changeMap.js';
+import { changeMap, resolveHeldPass } from '../../src/process/ranker/changeMap.js';
 import { GroupView } from '../../src/process/ranker/groupView.js';
 import { LockstepGroup } from '../../test/standins/lockstepGroup.js';
 
@@ -104,6 +104,7 @@
       view,
       readClock,
       firstUnusedPass,
+      unarmedHolds,
       lastUnansweredOrderAt: -Infinity,
     };
     const rankStates = view.listIfComplete(now);
@@ -111,13 +112,8 @@
     const firstReport = rankStates[0]?.report;
     if (firstReport === undefined) return;
     if (firstReport.held !== undefined) {
-      const { held: pass, epoch, prepared } = firstReport;
-      const isComplete =
-        prepared !== undefined &&
-        rankStates.every(({ report }) => report.prepared === prepared && report.map < prepared);
-      if (isComplete) await completeHeldChange(context, { version: prepared, epoch, pass });
-      else await releasePass(context, epoch, pass);
-      if (startGeneration === generation) firstUnusedPass = Math.max(firstUnusedPass, pass + 1);
+      await resolveHeldPass(context, rankStates, firstReport.held);
+      if (startGeneration === generation) firstUnusedPass = context.firstUnusedPass;
       return;
     }
     if (rankStates.some(({ report }) => report.armed !== undefined)) return;
@@ -135,6 +131,7 @@
     if (outcome === 'switched') switched += 1;
   };
   let firstUnusedPass = 0;
+  let unarmedHolds = new Set<string>();
   const faultsEndAt = 12_000;
   const endsAt = 28_000;
   let passBeforeEnd = 0;
@@ -158,6 +155,7 @@
         generation += 1;
         view = new GroupView('g', RANKS);
         firstUnusedPass = 0;
+        unarmedHolds = new Set();
         isBusy = false;
         publishStatus();
       }
--- a/src/process/ranker/changeMap.spec.ts
+++ b/src/process/ranker/changeMap.spec.ts
@@ -46,6 +46,7 @@
       view,
       readClock: () => now,
       firstUnusedPass: 0,
+      unarmedHolds: new Set<string>(),
       lastUnansweredOrderAt: -Infinity,
     };
     void changeMap(context, { version: 5, epoch: 1, placement }).then((ended) => {
@@ -115,6 +116,7 @@
       view,
       readClock: () => now,
       firstUnusedPass: 0,
+      unarmedHolds: new Set<string>(),
       lastUnansweredOrderAt: -Infinity,
     };
     const outcomes: ChangeOutcome[] = [];
--- a/src/process/ranker/changeMap.ts
+++ b/src/process/ranker/changeMap.ts
@@ -40,6 +40,8 @@
   readonly readClock: () => number;
   /** Lowest pass that no earlier change has named; a late order of an earlier change must not match a new one. */
   firstUnusedPass: number;
+  /** Holds of this coordinator that remained unanswered, by epoch and pass; no rank was armed for these. */
+  readonly unarmedHolds: Set<string>;
   /** Time at which an order last remained unanswered. */
   lastUnansweredOrderAt: number;
   /** Estimated time from the hold to the release of a pass; undefined until measured. */
@@ -151,6 +153,56 @@
   }
 }
 
+/**
+ * Completes or undoes the change for which a pass is held, and releases the pass. The change may be that of an earlier
+ * coordinator, whose orders may still be in flight.
+ *
+ * @param context - Ranks and clock
+ * @param states - All ranks
+ * @param pass - Held pass
+ * @returns Whether the change was complete, so that it was finished rather than undone
+ */
+export async function resolveHeldPass(
+  context: ChangeContext,
+  states: readonly RankState[],
+  pass: number,
+): Promise<boolean> {
+  const { epoch = 0, prepared: version } = states[0]?.report ?? {};
+  const isComplete = version !== undefined && isReadyToArm(states, version, pass);
+  if (context.unarmedHolds.has(`${epoch}/${pass}`) || isArmedForOtherPass(states, pass)) {
+    await releasePass(context, epoch, pass);
+  } else if (isComplete) {
+    await completeHeldChange(context, { version, epoch, pass });
+  } else {
+    // Some ranks may be armed, and a late order may still arm others.
+    const highest = Math.max(...states.map(({ report }) => findHighestVersion(report)));
+    if (await rollBackArming(context, highest, epoch)) await releasePass(context, epoch, pass);
+  }
+  context.firstUnusedPass = Math.max(context.firstUnusedPass, pass + 1);
+  return isComplete;
+}
+
+/** Whether all ranks have prepared the version and none is armed for anything but the held pass. */
+function isReadyToArm(states: readonly RankState[], version: number, pass: number): boolean {
+  return states.every(
+    ({ report: { prepared, map, armed } }) =>
+      prepared === version && map < version && (armed === undefined || armed.pass === pass),
+  );
+}
+
+/** Whether a change is complete for another pass, so that the hold is a late order of an earlier attempt. */
+function isArmedForOtherPass(states: readonly RankState[], pass: number): boolean {
+  const first = states[0]?.report.armed;
+  if (first === undefined || first.pass === pass) return false;
+  return states.every(
+    ({ report: { armed } }) => armed?.version === first.version && armed.pass === first.pass,
+  );
+}
+
+function findHighestVersion({ map, prepared = 0, armed }: RankReport): number {
+  return Math.max(map, prepared, armed?.version ?? 0);
+}
+
 async function holdPass(context: ChangeContext, epoch: number): Promise<number | undefined> {
   const isReliable =
     context.armMs !== undefined ||
@@ -165,7 +217,10 @@
     if (outcome === 'done' || outcome === 'begun') return pass;
     // An unanswered hold may have taken effect or may still do so; the coordinator releases a pass that it finds held
     // later.
-    if (outcome === 'unknown') return undefined;
+    if (outcome === 'unknown') {
+      context.unarmedHolds.add(`${epoch}/${pass}`);
+      return undefined;
+    }
     lead += 1;
   }
   return undefined;
--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -4,7 +4,7 @@
 import { planCopies } from '../../version/placement/copyPlan.js';
 import { ChangeOverhead } from './changeCosts.js';
 import type { ChangeContext } from './changeMap.js';
-import { changeMap, completeHeldChange, releasePass } from './changeMap.js';
+import { changeMap, resolveHeldPass } from './changeMap.js';
 import { ChangeTimer } from './changeTimer.js';
 import { computeSkew } from './computeSkew.js';
 import type { GroupView, RankState } from './groupView.js';
@@ -52,6 +52,7 @@
     view,
     readClock,
     firstUnusedPass: 0,
+    unarmedHolds: new Set(),
     lastUnansweredOrderAt: -Infinity,
   };
   const history: ChangeHistory = {
@@ -75,25 +76,19 @@
   }
 }
 
-/** Completes or releases a pass that an earlier coordinator left held; its release order may still be in flight. */
+/** Resolves a pass that is found held, by an earlier coordinator or by an order of this one that executed late. */
 async function resolveOrphanedHold(
   options: CoordinatorOptions,
   context: ChangeContext,
   states: readonly RankState[],
 ): Promise<boolean> {
-  const localReport = states[0]?.report;
-  if (localReport?.held === undefined) return false;
-  const { held: pass, epoch, prepared: version } = localReport;
-  const isComplete =
-    version !== undefined &&
-    states.every(({ report }) => report.prepared === version && report.map < version);
+  const report = states[0]?.report;
+  if (report?.held === undefined) return false;
+  const isComplete = await resolveHeldPass(context, states, report.held);
   options.logger.warn(
-    { group: localReport.group, pass, version: version ?? 0, isComplete },
-    'found a pass held by an earlier coordinator',
+    { group: report.group, pass: report.held, version: report.prepared ?? 0, isComplete },
+    'resolved a pass held by an earlier order',
   );
-  if (isComplete) await completeHeldChange(context, { version, epoch, pass });
-  else await releasePass(context, epoch, pass);
-  context.firstUnusedPass = Math.max(context.firstUnusedPass, pass + 1);
   return true;
 }
 
