fix: do not take a response of a plain service for complete when a reset cuts it

The agent passed on the first part of a body without a length as a complete response, and remembered such a part as the outcome of an order, when the connection was reset within the body. Cause: undici takes a reset after a body without a length for its end; recognizes it in the gateway only. Evidence: a raw TCP upstream; both new tests failed before: AssertionError: expected { kind: 'done', status: 200, …(3) } to have property 'kind' of 'failed', but got 'done' AssertionError: expected { kind: 'ended', outcome: { …(4) } } to have nested property 'outcome.state' of 'unknown', but got 'done' Fix: the listeners of the gateway's exchange are shared; a call to a plain service uses a connection of its own, as an order does, since the pool does not tell which connection a response arrived on. No late second response to an earlier call can arrive there either. The price is one connection per call.

--- a/src/process/agent/upstreams/orderExchange.ts
+++ b/src/process/agent/upstreams/orderExchange.ts
@@ -1,4 +1,5 @@
 import { Client } from 'undici';
+import { createObservedConnector } from '../../../connection/observeReset.js';
 import { defaults } from '../../../defaults.js';
 import type { OrderOutcome } from '../orderMemory.js';
 
@@ -35,10 +36,14 @@
  * @returns How the exchange ended; the promise never rejects
  */
 export function sendOrder(exchange: OrderExchange): Promise<SendResult> {
+  let hasReset = false;
   const client = new Client(exchange.url, {
     pipelining: 1,
     headersTimeout: defaults.maxDeadlineMs,
     bodyTimeout: defaults.maxDeadlineMs,
+    connect: createObservedConnector(() => {
+      hasReset = true;
+    }),
   });
   return new Promise((resolve) => {
     let claimed = false;
@@ -90,6 +95,10 @@
           else parts.push(data);
         },
         onResponseEnd: () => {
+          if (hasReset) {
+            finish(createNoResponseResult(claimed, 'connection was reset within the response'));
+            return;
+          }
           if (refused) {
             const reason = 'upstream refused the order before running it';
             finish({
--- a/src/process/agent/upstreams/plain.ts
+++ b/src/process/agent/upstreams/plain.ts
@@ -1,5 +1,6 @@
 import { Agent, request } from 'undici';
 import { createFailedResult } from './failure.js';
+import { sendDedicated } from './sendDedicated.js';
 import type { Exchange, ExchangeResult, UpstreamAdapter, UpstreamLoad } from './types.js';
 
 const REFUSED_STATUS = 503;
@@ -16,20 +17,16 @@
   const run = async (exchange: Exchange): Promise<ExchangeResult> => {
     const { signal } = exchange;
     try {
-      const answer = await request(`${url}/calls`, {
-        method: 'POST',
-        dispatcher,
-        signal,
-        headers: { 'content-type': 'application/json' },
+      const { status, body } = await sendDedicated({
+        url: `${url}/calls`,
         body: exchange.body,
+        signal,
       });
-      const body = new Uint8Array(await answer.body.arrayBuffer());
-      if (answer.statusCode === REFUSED_STATUS) {
+      if (status === REFUSED_STATUS) {
         const message = 'service refused the call';
         const flags = { started: false, possibleCrash: false, unreachable: false };
         return { kind: 'failed', code: 'upstream_refused', message, ...flags };
       }
-      const status = answer.statusCode;
       return { kind: 'done', status, body, finishReason: 'stop', promptTokens: 0 };
     } catch (error) {
       return createFailedResult(error, signal.aborted);
--- a/src/request/forwarding/upstreamExchange.ts
+++ b/src/request/forwarding/upstreamExchange.ts
@@ -4,6 +4,7 @@
 import type { buildConnector } from 'undici';
 import { Client } from 'undici';
 import { parseAddress } from '../../connection/linkClient.js';
+import { observeReset } from '../../connection/observeReset.js';
 
 /** A live host accepts within one round trip, which is below 20 ms between availability zones. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -99,16 +100,13 @@
       socket.destroy(new Error('connection attempt timed out'));
     }, CONNECT_TIMEOUT_MS);
     let isOpen = false;
-    // undici treats a reset after a body without a length as its end, so this listener records the reset before undici's.
-    socket.prependListener('error', (error) => {
+    observeReset(socket, () => {
       this.hasReset = true;
+    });
+    socket.on('error', (error) => {
       clearTimeout(timer);
       if (!isOpen) callback(error, null);
     });
-    // Node reports a reset that it reads together with earlier bytes as an orderly end; only then the peer is unknown.
-    socket.prependListener('end', () => {
-      if (socket.remoteAddress === undefined) this.hasReset = true;
-    });
     socket.once('connect', () => {
       clearTimeout(timer);
       isOpen = true;
