fix: do not vouch for a restored store on the word of gateways without memory

Cause: an assumption was passed on like an observation. Evidence: the new test failed before: AssertionError: expected true to equal false (isComplete of a gateway that had seen the restore 0.1 s before) Fix: such a gateway states no era until it has evidence (a second revision, the word of a peer that has it, or the end of the grace period). Its own reads count as before.

--- /dev/null
+++ b/src/process/gateway/peerSnapshots.spec.ts
@@ -0,0 +1,43 @@
+import { expect } from 'chai';
+import { Err } from 'ts-results-es';
+import { ConfigurationCache } from './configurationCache.js';
+import { PeerSnapshots } from './peerSnapshots.js';
+import { StoreEra } from './storeEra.js';
+import { UpstreamDirectory } from './upstreamDirectory.js';
+
+const RESTORED_AT_MS = 1_000;
+const QUERIED_AT_MS = 1_100;
+
+/** Creates the exchange of one gateway at the time of a query. */
+function createSnapshots(storeEra: StoreEra, now = QUERIED_AT_MS): PeerSnapshots {
+  const discard = (): void => undefined;
+  return new PeerSnapshots({
+    configurationCache: new ConfigurationCache(1_000),
+    directory: new UpstreamDirectory(),
+    storeEra,
+    source: { decodeDocument: () => Err({ code: 'malformed', message: '' }) },
+    logger: { debug: discard, info: discard, warn: discard, error: discard },
+    readClock: () => now,
+    readMonotonicClock: () => now,
+    onConfiguration: discard,
+    onUpstreamStarted: discard,
+  });
+}
+
+describe('snapshots of peers', () => {
+  // Guards against revoked keys that count as proved because gateways that have just started assume a complete store.
+  it('guards against a restored store that counts as complete on the word of a gateway without memory', () => {
+    const started = new StoreEra();
+    started.observe(1, RESTORED_AT_MS);
+    started.confirm();
+    const running = new StoreEra();
+    running.observe(0, 0);
+    running.observe(1, RESTORED_AT_MS);
+    const reply = createSnapshots(started).create(0, true);
+    createSnapshots(running).apply(reply, QUERIED_AT_MS);
+    expect(running.isComplete(QUERIED_AT_MS)).to.equal(false);
+
+    const later = createSnapshots(started, RESTORED_AT_MS + 2_200).create(0, true);
+    expect(later).to.include({ era: 1, isEraComplete: true });
+  });
+});
--- a/src/process/gateway/peerSnapshots.ts
+++ b/src/process/gateway/peerSnapshots.ts
@@ -42,7 +42,7 @@
     const { current } = configurationCache;
     const { current: era } = storeEra;
     return {
-      ...(era !== undefined && storeEra.isConfirmed(monotonicNow)
+      ...(era !== undefined && storeEra.hasEvidence(monotonicNow)
         ? { era, isEraComplete: storeEra.isComplete(monotonicNow) }
         : {}),
       version: configurationCache.version,
--- a/src/process/gateway/storeEra.ts
+++ b/src/process/gateway/storeEra.ts
@@ -21,6 +21,8 @@
   private caughtUpSince = -Infinity;
   /** False while nobody has told this process, which has no memory, whether the store was restored before its start. */
   private hasMemory = true;
+  /** Until then the completeness of the store is only assumed, and peers must not rely on it. */
+  private assumedUntil = -Infinity;
 
   /** Newest era seen; undefined before the first answer of the store or of a peer. */
   get current(): number | undefined {
@@ -37,6 +39,16 @@
     return this.hasMemory || now >= this.completeSince;
   }
 
+  /**
+   * Checks whether peers may rely on what this process knows of the era.
+   *
+   * @param now - Current time on the monotonic clock, in milliseconds
+   * @returns False while it is unconfirmed, or confirmed only by peers that know no era either
+   */
+  hasEvidence(now: number): boolean {
+    return this.isConfirmed(now) && now >= this.assumedUntil;
+  }
+
   /**
    * Records the era of an answer of the store.
    *
@@ -50,6 +62,7 @@
     const isFirst = this.era === undefined;
     this.era = era;
     this.baseRevision = undefined;
+    this.assumedUntil = -Infinity;
     if (isFirst && era === INITIAL_ERA) return true;
     this.hasMemory = !isFirst;
     this.completeSince = now + REWRITE_GRACE_MS;
@@ -70,7 +83,10 @@
     const isCurrent = this.observe(era, now);
     // A peer that states an era remembers the time before the start of this process.
     this.hasMemory = true;
-    if (isCurrent && isComplete) this.completeSince = Math.min(this.completeSince, now);
+    if (isCurrent && isComplete) {
+      this.completeSince = Math.min(this.completeSince, now);
+      this.assumedUntil = -Infinity;
+    }
     return isCurrent;
   }
 
@@ -78,6 +94,7 @@
   confirm(): void {
     if (this.hasMemory) return;
     this.hasMemory = true;
+    this.assumedUntil = this.completeSince;
     this.completeSince = -Infinity;
   }
 
@@ -93,6 +110,7 @@
     this.baseRevision ??= revision;
     if (revision === this.baseRevision || isBehind) return;
     this.hasMemory = true;
+    this.assumedUntil = -Infinity;
     this.completeSince = Math.min(this.completeSince, readStartedAt);
   }
 
