fix: plan map changes where the configuration states no transfer rate

The copy time became infinite with a rate of 0, the default of a configuration without one, and the saving of a plan NaN, which passed every minimum: changes without effect would follow each other. Found by reading. The new test failed before: expected Infinity to equal +0.

--- a/src/process/ranker/changeCosts.spec.ts
+++ b/src/process/ranker/changeCosts.spec.ts
@@ -10,6 +10,11 @@
     expect(computeCopyMs(slow)).to.be.closeTo(147.8, 0.1);
   });
 
+  // Guards against a plan without numbers, which would never be rejected, when the rate is missing.
+  it('guards against an infinite copy time where no rate is configured', () => {
+    expect(computeCopyMs({ expertMegabytes: 420, transferMegabitsPerSecond: 0 })).to.equal(0);
+  });
+
   // Guards against plans that assume fast changes while orders are slow.
   it('guards against an overhead that does not follow slow changes', () => {
     const overhead = new ChangeOverhead();
--- a/src/process/ranker/changeCosts.ts
+++ b/src/process/ranker/changeCosts.ts
@@ -11,12 +11,13 @@
  * Computes how long a rank needs to copy one expert.
  *
  * @param experts - Size of an expert and rate of the transfer
- * @returns Milliseconds
+ * @returns Milliseconds; 0 if the configuration states no rate
  */
 export function computeCopyMs(
   experts: Pick<ExpertParameters, 'expertMegabytes' | 'transferMegabitsPerSecond'>,
 ): number {
   const { expertMegabytes, transferMegabitsPerSecond } = experts;
+  if (transferMegabitsPerSecond <= 0) return 0;
   return (expertMegabytes * BITS_PER_BYTE * MS_PER_SECOND) / transferMegabitsPerSecond;
 }
 
