--- a/bench/proofs/heldMaps.ts
+++ b/bench/proofs/heldMaps.ts
@@ -2,7 +2,8 @@
 import { mock } from 'node:test';
 import seedrandom from 'seedrandom';
 import type { ChangeOutcome, MapChange } from '../../src/process/ranker/changeMap.js';
-import { changeMap, resolveHeldPass } from '../../src/process/ranker/changeMap.js';
+import { changeMap } from '../../src/process/ranker/changeMap.js';
+import { resolveHeldPass } from '../../src/process/ranker/resolveHeldPass.js';
 import { GroupView } from '../../src/process/ranker/groupView.js';
 import { LockstepGroup } from '../../test/standins/lockstepGroup.js';
 
--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -4,11 +4,12 @@
 import { planCopies } from '../../version/placement/copyPlan.js';
 import { ChangeOverhead } from './changeCosts.js';
 import type { ChangeContext } from './changeMap.js';
-import { changeMap, resolveHeldPass } from './changeMap.js';
+import { changeMap } from './changeMap.js';
 import { ChangeTimer } from './changeTimer.js';
 import { computeSkew } from './computeSkew.js';
 import type { GroupView, RankState } from './groupView.js';
 import { PlanRate } from './planRate.js';
+import { resolveHeldPass } from './resolveHeldPass.js';
 import type { ExpertLayout } from './types.js';
 
 /** Demand shifts to other experts every 2.4 to 4 s. */
