fix: finish the change of an earlier coordinator only if all ranks are armed

A pass began while the ranks of a group had two maps (rule MAP) after a coordinator had been killed while it undid a change: its successor found all ranks prepared, armed them again and released the pass, and a late order of the first one to disarm the version then took a rank back. An idle group leaves unlimited time for that. Cause: that all ranks have prepared a version does not show that nobody has begun to undo it.

--- a/src/process/ranker/changeMap.spec.ts
+++ b/src/process/ranker/changeMap.spec.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai';
 import { LockstepGroup } from '../../../test/standins/lockstepGroup.js';
 import type { ChangeOutcome } from './changeMap.js';
-import { changeMap } from './changeMap.js';
+import { changeMap, resolveHeldPass } from './changeMap.js';
 import type { RankState } from './groupView.js';
 import { GroupView } from './groupView.js';
 
@@ -146,3 +146,55 @@
     expect(heldStarts.slice(1)).to.deep.equal(new Array(changes - 1).fill(0));
   });
 });
+
+describe('pass held by an earlier coordinator', () => {
+  // Guards against a pass with two maps after a coordinator was killed while it undid a change.
+  it('guards against completing a change whose ranks a late order may still disarm', async () => {
+    mock.timers.enable({ apis: ['setTimeout'] });
+    let now = 0;
+    const ranks = 3;
+    const readClock = (): number => now;
+    const group = new LockstepGroup(ranks, () => 0.5, noFaults, readClock);
+    group.isIdle = true;
+    const view = new GroupView('g', ranks);
+    const publish = (): void => {
+      for (let rank = 0; rank < ranks; rank += 1) {
+        const status = { report: group.report(rank), experts: [[rank]] };
+        view.applyStatus(status, (order, epoch) => group.receiveOrder(rank, order, epoch), now);
+      }
+    };
+    const pass = group.pass + 2;
+    const arm = { kind: 'arm', version: 5, pass } as const;
+    // The earlier coordinator has armed one rank only, and its order to disarm that rank is late.
+    for (let rank = 0; rank < ranks; rank += 1)
+      void group.receiveOrder(rank, { kind: 'prepare', version: 5, placement }, 1);
+    const run = async (durationMs: number): Promise<void> => {
+      for (const endsAt = now + durationMs; now < endsAt;) {
+        now += TICK_MS;
+        mock.timers.tick(TICK_MS);
+        group.run();
+        publish();
+        await nextTurn();
+      }
+    };
+    await run(400);
+    void group.receiveOrder(0, { kind: 'hold', pass }, 1);
+    void group.receiveOrder(1, arm, 1);
+    publish();
+    const context = {
+      view,
+      readClock,
+      firstUnusedPass: 0,
+      unarmedHolds: new Set<string>(),
+      lastUnansweredOrderAt: -Infinity,
+    };
+    void resolveHeldPass(context, [...view.ranks.values()], pass);
+    await run(1_000);
+    void group.receiveOrder(1, { kind: 'disarm', version: 5 }, 1);
+    group.isIdle = false;
+    await run(500);
+    mock.timers.reset();
+    expect(group.pass).to.be.greaterThan(pass);
+    expect(group.mixedPasses).to.equal(0);
+  });
+});
--- a/src/process/ranker/changeMap.ts
+++ b/src/process/ranker/changeMap.ts
@@ -168,7 +168,7 @@
   pass: number,
 ): Promise<boolean> {
   const { epoch = 0, prepared: version } = states[0]?.report ?? {};
-  const isComplete = version !== undefined && isReadyToArm(states, version, pass);
+  const isComplete = version !== undefined && isArmedForPass(states, version, pass);
   if (context.unarmedHolds.has(`${epoch}/${pass}`) || isArmedForOtherPass(states, pass)) {
     await releasePass(context, epoch, pass);
   } else if (isComplete) {
@@ -182,12 +182,12 @@
   return isComplete;
 }
 
-/** Whether all ranks have prepared the version and none is armed for anything but the held pass. */
-function isReadyToArm(states: readonly RankState[], version: number, pass: number): boolean {
-  return states.every(
-    ({ report: { prepared, map, armed } }) =>
-      prepared === version && map < version && (armed === undefined || armed.pass === pass),
-  );
+/**
+ * Whether all ranks are armed for the held pass, so that an order to release it may be in flight. Ranks that are not armed
+ * must not be: if the earlier coordinator has begun to undo the change, a late order may disarm them again.
+ */
+function isArmedForPass(states: readonly RankState[], version: number, pass: number): boolean {
+  return states.every(({ report: { armed } }) => armed?.version === version && armed.pass === pass);
 }
 
 /** Whether a change is complete for another pass, so that the hold is a late order of an earlier attempt. */
