--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -11,6 +11,7 @@
 import { PlanRate } from './planRate.js';
 import { resolveHeldPass } from './resolveHeldPass.js';
 import type { ExpertLayout } from './types.js';
+import { VersionSource } from './versionSource.js';
 
 /** Demand shifts to other experts every 2.4 to 4 s. */
 const PERSISTENCE_MS = 3_000;
@@ -20,8 +21,6 @@
 const MIN_SELECTIONS = 6_000;
 /** Interval between two checks of the group while no change is in progress. */
 const IDLE_POLL_INTERVAL_MS = 80;
-/** Versions start at the wall clock in this unit, so that a restarted coordinator does not reuse earlier versions. */
-const VERSION_TICK_MS = 1_000;
 /** Added after a version was refused as too low; ranks remember versions that their reports no longer show. */
 const VERSION_SKIP = 64;
 
@@ -166,26 +165,6 @@
   return true;
 }
 
-/** Issues versions above all that any rank has reported. */
-class VersionSource {
-  private last: number;
-
-  constructor(wallNow: number) {
-    this.last = Math.floor(wallNow / VERSION_TICK_MS);
-  }
-
-  issue(states: readonly RankState[]): number {
-    for (const { report } of states)
-      this.last = Math.max(this.last, report.map, report.prepared ?? 0);
-    this.last += 1;
-    return this.last;
-  }
-
-  skip(count: number): void {
-    this.last += count;
-  }
-}
-
 function round(value: number): number {
   return Math.round(value * 100) / 100;
 }
