--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -129,7 +129,7 @@
   context.timer = undefined;
   const durations = timer.describe();
   const inUse = outcome === 'switched' ? plan.placement : placement;
-  if (outcome === 'not_prepared') versions.skip(VERSION_SKIP);
+  if (outcome === 'not_prepared') versions.advance(VERSION_SKIP);
   const tookMs = readClock() - startedAt;
   if (outcome === 'switched') {
     const copyMs = plan.copiesPerRank * layout.copyMs;
--- a/src/process/ranker/versionSource.spec.ts
+++ b/src/process/ranker/versionSource.spec.ts
@@ -16,7 +16,7 @@
       reported.report = { ...reported.report, prepared: inFlight };
       inFlight = earlier.issue([reported]);
     }
-    earlier.skip(SKIP_AFTER_REFUSAL);
+    earlier.advance(SKIP_AFTER_REFUSAL);
     inFlight = earlier.issue([reported]);
     const later = new VersionSource(wallNow + 1_000);
     expect(later.issue([reported])).to.be.greaterThan(inFlight);
--- a/src/process/ranker/versionSource.ts
+++ b/src/process/ranker/versionSource.ts
@@ -37,7 +37,7 @@
    *
    * @param count - Number of versions
    */
-  skip(count: number): void {
+  advance(count: number): void {
     this.last += count;
   }
 }
