--- a/test/standins/platformWorker.ts
+++ b/test/standins/platformWorker.ts
@@ -29,6 +29,8 @@
   readonly url: string;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly body: string;
+  /** Monotonic time of the arrival, milliseconds. */
+  readonly receivedAt: number;
   /** The connection was closed before the response was complete. */
   isAbandoned: boolean;
 }
@@ -39,6 +41,8 @@
   readonly receivedRequests: ReceivedRequest[];
   /** Delay between two events, milliseconds. */
   eventIntervalMs: number;
+  /** Value of the rate limit header in each signed response; none is sent while undefined. */
+  rateLimit: string | undefined;
   stopListening(): void;
 }
 
@@ -70,6 +74,7 @@
     behaviour: 'serve' as WorkerBehaviour,
     receivedRequests: [] as ReceivedRequest[],
     eventIntervalMs: 5,
+    rateLimit: undefined as string | undefined,
     stopListening: () => {
       server.close();
     },
@@ -96,11 +101,12 @@
 async function serve(
   state: Pick<
     WorkerStandIn,
-    'id' | 'behaviour' | 'receivedRequests' | 'eventIntervalMs' | 'stopListening'
+    'id' | 'behaviour' | 'receivedRequests' | 'eventIntervalMs' | 'rateLimit' | 'stopListening'
   >,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
+  const receivedAt = performance.now();
   const chunks: Buffer[] = [];
   for await (const part of request) chunks.push(part as Buffer);
   const received: ReceivedRequest = {
@@ -108,6 +114,7 @@
     url: request.url ?? '',
     headers: request.headers,
     body: Buffer.concat(chunks).toString('utf8'),
+    receivedAt,
     isAbandoned: false,
   };
   state.receivedRequests.push(received);
@@ -115,7 +122,11 @@
     if (!response.writableFinished) received.isAbandoned = true;
   });
   const requestId = String(request.headers['request-id']);
-  const signedHeaders = { 'Request-Id': requestId, 'Server-Seal': `seal.${state.id}` };
+  const signedHeaders = {
+    'Request-Id': requestId,
+    'Server-Seal': `seal.${state.id}`,
+    ...(state.rateLimit === undefined ? {} : { 'Server-Limit': state.rateLimit }),
+  };
   const isStream = request.method === 'POST' && request.url?.startsWith('/chat/') === true;
   const stream = async (until: number, from: number): Promise<void> => {
     response.writeHead(200, { 'Content-Type': 'text/event-stream', ...signedHeaders });
