--- a/test/support/gatewayHost.ts
+++ b/test/support/gatewayHost.ts
@@ -8,19 +8,26 @@
 import { waitUntil } from './waiting.js';
 
 // Runs one gateway in a process of its own, so that a test can stop and continue it.
-const [linkPort = 0, frontPort = 0, readyPort = 0] = await reservePorts(3);
-const linkAddress = `127.0.0.1:${linkPort}`;
-const storeAddress = `127.0.0.1:${process.argv[2] ?? ''}`;
+// Arguments: port of the store; optionally the index of the gateway and the ports of links, front and readiness of each
+// gateway, separated by commas.
+const [storePort = '', index = '0', ...portLists] = process.argv.slice(2);
+const allPorts =
+  portLists.length === 0
+    ? [await reservePorts(3)]
+    : portLists.map((list) => list.split(',').map(Number));
+const [linkPort = 0, frontPort = 0, readyPort = 0] = allPorts[Number(index)] ?? [];
+const processId = `gateway-${index}`;
+const storeAddress = `127.0.0.1:${storePort}`;
 const daemon = new GatewayDaemon(
   {
-    processId: 'gateway-1',
+    processId,
     availabilityZone: 'a',
     logLevel: 'error',
     host: '127.0.0.1',
     frontPort,
     readyPort,
-    linkAddress,
-    seeds: [linkAddress],
+    linkAddress: `127.0.0.1:${linkPort}`,
+    seeds: allPorts.map(([port = 0]) => `127.0.0.1:${port}`),
     metricsPort: 0,
     storeAddress,
     keyRevocationLimitMs: 60_000,
@@ -31,9 +38,12 @@
     source: new StoreClient(storeAddress),
     codec: headerCodec,
     probe: engineProbe,
-    logger: createLogger('gateway-1'),
+    logger: createLogger(processId),
   },
 );
+process.once('SIGTERM', () => {
+  void daemon.drain().then(() => process.exit(0));
+});
 await daemon.start();
 await waitUntil('gateway ready', async () => {
   const { statusCode, body } = await request(`http://127.0.0.1:${readyPort}/ready`);
