fix: bound rate limits beyond any use, and wait only for upstreams that are usable

A request waited for its queue time when its only unlimited upstream was down; the wait for a permit now looks at the upstreams that can take the request in time. A new link to an issuer starts with a full list of demand, also an empty one, since the issuer may hold that of an earlier link. Obsolete records are looked for once a second instead of 40 times.

--- a/src/process/gateway/gatewayRateLimits.ts
+++ b/src/process/gateway/gatewayRateLimits.ts
@@ -9,6 +9,7 @@
 
 /** Time for which records are kept that no longer matter here; gossip reaches all linked gateways sooner. */
 const OBSOLETE_TTL_MS = 60_000;
+const DISCARD_INTERVAL_MS = 1_000;
 
 export interface GatewayRateLimitsOptions {
   /** Process id of this gateway. */
@@ -26,6 +27,7 @@
   readonly limiter: RateLimiter;
   readonly observer: RateLimitObserver;
   private readonly records = new RateLimitRecords();
+  private discardedAt = -Infinity;
 
   constructor(private readonly options: GatewayRateLimitsOptions) {
     const { self, logger, metrics, readClock, send } = options;
@@ -53,11 +55,12 @@
    */
   advance(now: number): void {
     if (!this.records.hasLimits) return;
-    this.discardObsolete(now);
+    if (now - this.discardedAt >= DISCARD_INTERVAL_MS) this.discardObsolete(now);
     this.limiter.advance(now);
   }
 
   private discardObsolete(now: number): void {
+    this.discardedAt = now;
     const listed = new Set(this.options.directory.listAll().map(toIncarnation));
     this.records.discardObsolete(listed, now - OBSOLETE_TTL_MS);
   }
--- a/src/request/admission/upstreamBalancer.ts
+++ b/src/request/admission/upstreamBalancer.ts
@@ -131,21 +131,24 @@
   }
 
   /**
-   * Estimates the wait for a permit of a request whose upstreams all have a rate limit.
+   * Estimates the wait for a permit of a request, if all upstreams that may take it in time have a rate limit.
    *
    * @param request - Reservation request
    * @param position - Requests that take a permit up to and including this one
    * @param now - Current time in milliseconds
-   * @returns Expected wait and the upstreams, or undefined when an upstream has no rate limit
+   * @returns Expected wait and the upstreams, or undefined when no upstream is usable or one has no rate limit
    */
   estimatePermitWait(
-    request: Pick<ReservationRequest, 'service' | 'excluded'>,
+    request: Pick<ReservationRequest, 'service' | 'excluded' | 'maxWaitMs'>,
     position: number,
     now: number,
   ): PermitWait | undefined {
     const limited: UpstreamEntry[] = [];
     for (const upstream of this.sources.listReady(request.service)) {
       if (request.excluded.has(upstream.id)) continue;
+      const { backoffUntil } = this.getLoad(upstream.id);
+      const isBackInTime = backoffUntil <= now + request.maxWaitMs;
+      if (!isBackInTime || !this.health.isAvailable(upstream.id, now)) continue;
       if (this.limiter.checkPermit(upstream, now) === 'unlimited') return undefined;
       limited.push(upstream);
     }
--- a/src/request/rateLimit/permitPool.ts
+++ b/src/request/rateLimit/permitPool.ts
@@ -16,7 +16,8 @@
 }
 
 interface UpstreamPermits {
-  held: HeldPermit[];
+  /** In the order in which they expire. */
+  readonly held: HeldPermit[];
   /** Expired permits that have not been reported, by issuer. */
   readonly unused: Map<string, number>;
   demandedSince: number;
@@ -197,15 +198,13 @@
   }
 
   private expire(permits: UpstreamPermits, now: number): void {
-    if (permits.held.every(({ expiresAt }) => expiresAt > now)) return;
-    const valid: HeldPermit[] = [];
-    for (const permit of permits.held) {
-      if (permit.expiresAt > now) valid.push(permit);
-      else if (permit.issuer !== undefined) {
-        permits.unused.set(permit.issuer, (permits.unused.get(permit.issuer) ?? 0) + 1);
-      }
+    // All permits live equally long, so the first one expires first.
+    for (let [first] = permits.held; first !== undefined; [first] = permits.held) {
+      if (first.expiresAt > now) return;
+      permits.held.shift();
+      if (first.issuer === undefined) continue;
+      permits.unused.set(first.issuer, (permits.unused.get(first.issuer) ?? 0) + 1);
     }
-    permits.held = valid;
   }
 
   private getPermits(upstream: UpstreamIncarnation): UpstreamPermits {
--- a/src/request/rateLimit/rateLimitObserver.ts
+++ b/src/request/rateLimit/rateLimitObserver.ts
@@ -4,9 +4,12 @@
 import type { Metrics } from '../../process/metrics.js';
 import type { UpstreamEntry } from '../../version/routing/types.js';
 import type { RateLimitRecords } from './rateLimitRecords.js';
-import type { RateLimitChange, RateLimitObservation } from './types.js';
+import type { RateLimitChange, RateLimitObservation, RateLimitStatement } from './types.js';
 import { toIncarnation } from './types.js';
 
+/** All gateways together send one upstream far fewer requests, so a limit from here on is none. */
+const MAX_LIMIT_PER_SECOND = 1_000;
+
 /** Log messages by change; other outcomes of an observation are not logged. */
 const changeMessages: Readonly<Partial<Record<RateLimitChange, string>>> = {
   started: 'upstream has a rate limit',
@@ -53,9 +56,9 @@
       this.logInvalid(incarnation, upstream, head.rateLimit.text);
       return 'unchanged';
     }
+    const perSecond = findEffectiveLimit(head.rateLimit);
     // An unsigned response may come from an intermediary, which does not know the limit.
-    if (head.rateLimit.kind === 'none' && !(isOwn && head.isSigned)) return 'unchanged';
-    const perSecond = head.rateLimit.kind === 'stated' ? head.rateLimit.perSecond : undefined;
+    if (perSecond === undefined && !(isOwn && head.isSigned)) return 'unchanged';
     const observation = { perSecond, sentAt, receivedAt: now };
     const change = this.observe(incarnation, observation, 'response');
     if (changeMessages[change] !== undefined) this.options.onResponseChange(incarnation, now);
@@ -130,6 +133,11 @@
   }
 }
 
+function findEffectiveLimit(statement: RateLimitStatement): number | undefined {
+  const isEffective = statement.kind === 'stated' && statement.perSecond < MAX_LIMIT_PER_SECOND;
+  return isEffective ? statement.perSecond : undefined;
+}
+
 function toMetricName(id: string): string {
   return id.replace(/[^a-zA-Z0-9]/g, '_');
 }
--- a/src/request/rateLimit/rateLimiter.ts
+++ b/src/request/rateLimit/rateLimiter.ts
@@ -43,8 +43,8 @@
   private readonly pool = new PermitPool();
   private readonly issuer: PermitIssuer;
   private readonly choice: IssuerChoice;
-  /** Linked gateways, with the demand last sent to each. */
-  private readonly peers = new Map<string, string>();
+  /** Linked gateways, with the demand last sent to each; undefined until one was sent over the present link. */
+  private readonly peers = new Map<string, string | undefined>();
   private gossipedAt = -Infinity;
   private gossipTurn = 0;
 
@@ -88,7 +88,7 @@
    * @param now - Current time in milliseconds
    */
   addPeer(peer: string, now: number): void {
-    this.peers.set(peer, encodeDemands([]));
+    this.peers.set(peer, undefined);
     this.choice.resetPreferences();
     this.sendRecords(peer, [...this.options.records.list().keys()], now);
   }
