test: let the second upstream serve when the first request arrives, not by a timer

Cause: a timer of 1 ms let the other stand-ins serve once one had received a request; fired late, it left both failing. The stand-in now calls the test when a request arrives, before it chooses its response. The check is the same: one failing upstream, one repeat, 200 with the right body.

--- a/test/failures/gateway.spec.ts
+++ b/test/failures/gateway.spec.ts
@@ -22,14 +22,14 @@
     fixture.workers.reduce((sum, worker) => sum + worker.receivedRequests.length, 0);
   const failFirstWorker = (behaviour: WorkerBehaviour): void => {
     // All workers fail until one has received a request; then the others start to serve.
-    for (const worker of fixture.workers) worker.behaviour = behaviour;
-    const timer = setInterval(() => {
-      if (countReceived() === 0) return;
-      clearInterval(timer);
-      for (const worker of fixture.workers) {
-        if (worker.receivedRequests.length === 0) worker.behaviour = 'serve';
-      }
-    }, 1);
+    for (const worker of fixture.workers) {
+      worker.behaviour = behaviour;
+      worker.onReceived = () => {
+        for (const other of fixture.workers) {
+          if (other.receivedRequests.length === 0) other.behaviour = 'serve';
+        }
+      };
+    }
   };
 
   it('guards against modified requests and responses, and API keys forwarded to upstreams', async () => {
--- a/test/standins/platformWorker.ts
+++ b/test/standins/platformWorker.ts
@@ -43,6 +43,8 @@
   eventIntervalMs: number;
   /** Value of the rate limit header in each signed response; none is sent while undefined. */
   rateLimit: string | undefined;
+  /** Called for each request, before the behaviour of the response is chosen. */
+  onReceived: (() => void) | undefined;
   stopListening(): void;
 }
 
@@ -75,6 +77,7 @@
     receivedRequests: [] as ReceivedRequest[],
     eventIntervalMs: 5,
     rateLimit: undefined as string | undefined,
+    onReceived: undefined as (() => void) | undefined,
     stopListening: () => {
       server.close();
     },
@@ -101,7 +104,13 @@
 async function serve(
   state: Pick<
     WorkerStandIn,
-    'id' | 'behaviour' | 'receivedRequests' | 'eventIntervalMs' | 'rateLimit' | 'stopListening'
+    | 'id'
+    | 'behaviour'
+    | 'receivedRequests'
+    | 'eventIntervalMs'
+    | 'rateLimit'
+    | 'onReceived'
+    | 'stopListening'
   >,
   request: IncomingMessage,
   response: ServerResponse,
@@ -118,6 +127,7 @@
     isAbandoned: false,
   };
   state.receivedRequests.push(received);
+  state.onReceived?.();
   response.once('close', () => {
     if (!response.writableFinished) received.isAbandoned = true;
   });
