fix: send demand for permits again in case the issuer has lost it

Found while reading how links between gateways are kept: two seeds have a link in each direction, and the closing of the one that one end uses removes the peer there only. The issuer then forgot the demand of a gateway that saw no reason to send it again, so the gateway got no permit until its demand changed or the link came back. Unchanged demand is now sent again every 5 s. What remains: such a close also drops the in-flight counts of the peer for up to 1 s, as before.

--- a/src/request/rateLimit/rateLimiter.ts
+++ b/src/request/rateLimit/rateLimiter.ts
@@ -21,6 +21,15 @@
  */
 const GOSSIP_INTERVAL_MS = 200;
 
+/** Interval at which unchanged demand is sent again, in case the issuer has lost it with another link. */
+const DEMAND_REFRESH_INTERVAL_MS = 5_000;
+
+/** Demand as last sent to a gateway. */
+interface SentDemand {
+  readonly encoded: string;
+  readonly at: number;
+}
+
 /** Connection of the rate limiter to the other gateways. */
 export interface RateLimiterOptions {
   /** Process id of this gateway. */
@@ -44,7 +53,7 @@
   private readonly issuer: PermitIssuer;
   private readonly choice: IssuerChoice;
   /** Linked gateways, with the demand last sent to each; undefined until one was sent over the present link. */
-  private readonly peers = new Map<string, string | undefined>();
+  private readonly peers = new Map<string, SentDemand | undefined>();
   private gossipedAt = -Infinity;
   private gossipTurn = 0;
 
@@ -238,8 +247,10 @@
     for (const [peer, demands] of byPeer) {
       const encoded = encodeDemands(demands);
       const isReturning = demands.some(({ demand }) => demand.unused > 0);
-      if (!isReturning && encoded === this.peers.get(peer)) continue;
-      this.peers.set(peer, encoded);
+      const sent = this.peers.get(peer);
+      const isDue = sent === undefined || now - sent.at >= DEMAND_REFRESH_INTERVAL_MS;
+      if (!isDue && !isReturning && encoded === sent.encoded) continue;
+      this.peers.set(peer, { encoded, at: now });
       const upstreams = demands.map(({ upstream, demand }) => ({ upstream, ...demand }));
       send(peer, { type: 'permitDemand', upstreams });
     }
