--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -194,7 +194,7 @@
     z.object({
       /** Id and start of the upstream. */
       upstream: id,
-      /** Omitted once the upstream has stopped to state a limit. */
+      /** Omitted once the upstream has stopped stating a limit. */
       perSecond: z.number().nonnegative().optional(),
       /** Age of the last request whose response stated this. */
       sentAgeMs: z.number().nonnegative(),
--- a/src/request/rateLimit/rateLimitRecords.ts
+++ b/src/request/rateLimit/rateLimitRecords.ts
@@ -3,7 +3,7 @@
 
 /** Rate limit of an upstream as last stated. */
 export interface RateLimitRecord {
-  /** Undefined once the upstream has stopped to state a limit. */
+  /** Undefined once the upstream has stopped stating a limit. */
   readonly perSecond: number | undefined;
   /** Latest time at which a request was sent whose response stated this value, milliseconds. */
   readonly sentAt: number;
--- a/test/support/rateLimitRule.ts
+++ b/test/support/rateLimitRule.ts
@@ -10,7 +10,7 @@
   readonly perSecond: number;
   /** When the upstream first stated the limit. */
   readonly statedAt: number;
-  /** When the upstream stopped to state it. */
+  /** When the upstream stopped stating it. */
   readonly endedAt: number;
   /** When each gateway first forwarded a response that states the limit. */
   readonly toldAt: ReadonlyMap<string, number>;
--- a/test/support/rateLimitSchedule.ts
+++ b/test/support/rateLimitSchedule.ts
@@ -441,7 +441,7 @@
 ];
 
 /**
- * Simulates gateways before an upstream that states, changes and stops to state a rate limit.
+ * Simulates gateways before an upstream that states, changes and stops stating a rate limit.
  *
  * @param options - Seed, limiter and faults
  * @returns The busiest window and the use of each period
