test: split virtual time from the schedules of rate limits

The schedule file held an event queue besides the simulation; a reopened link kept the heartbeat of its earlier opening. No product code is changed.

--- a/test/failures/rateLimitSchedules.spec.ts
+++ b/test/failures/rateLimitSchedules.spec.ts
@@ -68,8 +68,10 @@
   it('guards against a check that naive limiters pass', () => {
     const schedule = { seed: '1', gateways: 4, perSecond: 1 };
     const own = runRateLimitSchedule({ ...schedule, variant: 'ownCounts' });
+    const shared = runRateLimitSchedule({ ...schedule, variant: 'sharedCounts' });
     const blocking = runRateLimitSchedule({ ...schedule, variant: 'blocking' });
     expect(own.periods.some(isExceeded)).to.equal(true);
+    expect(shared.releasedMs).to.equal(Infinity);
     expect(blocking.periods.every(isUnderused)).to.equal(true);
     expect(blocking.releasedMs).to.equal(Infinity);
   });
--- a/test/support/rateLimitSchedule.ts
+++ b/test/support/rateLimitSchedule.ts
@@ -3,6 +3,7 @@
 import type { Message } from '../../src/protocol/messages.js';
 import type { LimitedArrival } from './rateLimitRule.js';
 import { findBusiestWindow } from './rateLimitRule.js';
+import { VirtualTime } from './virtualTime.js';
 import type { LimiterVariant, ScheduleLimiter } from './rateLimitVariants.js';
 import { limiterVariants } from './rateLimitVariants.js';
 
@@ -59,6 +60,8 @@
   lastArrivalAt: number;
   lastHeardAt: number;
   isOpen: boolean;
+  /** Number of times that the link was opened. */
+  openings: number;
 }
 
 const LIMITS_PER_SECOND = [0.2, 0.5, 1, 2, 5, 15, 50];
@@ -73,9 +76,7 @@
 
 /** A simulated set of gateways before one upstream; every random choice follows from the seed. */
 class RateLimitSchedule {
-  private now = 0;
-  private order = 0;
-  private readonly events: { at: number; order: number; run: () => void }[] = [];
+  private readonly time = new VirtualTime();
   private readonly random: () => number;
   private readonly nodes: Node[] = [];
   private readonly directions = new Map<string, Direction>();
@@ -100,25 +101,25 @@
     const limits = [first, this.draw(LIMITS_PER_SECOND), undefined, this.draw(LIMITS_PER_SECOND)];
     const endAt = STARTED_MS + PERIOD_MS * limits.length;
     for (let fault = 0; fault < (this.options.faults ?? 0); fault += 1) {
-      this.schedule(this.random() * endAt, () => {
+      this.time.schedule(this.random() * endAt, () => {
         this.draw(faultHandlers)(this);
       });
     }
     const periods: PeriodResult[] = [];
-    this.runUntil(STARTED_MS);
+    this.time.runUntil(STARTED_MS);
     for (const perSecond of limits) {
       this.limit = perSecond;
-      const statedAt = this.now;
+      const statedAt = this.time.now;
       for (const node of this.nodes) node.toldAt = Infinity;
       const before = this.arrivals.length;
-      this.runUntil(statedAt + PERIOD_MS);
+      this.time.runUntil(statedAt + PERIOD_MS);
       if (perSecond === undefined) continue;
       periods.push(this.measure(perSecond, statedAt, this.arrivals.slice(before)));
     }
     this.limit = undefined;
-    const endedAt = this.now;
+    const endedAt = this.time.now;
     for (const node of this.nodes) node.lastRefusedAt = -Infinity;
-    this.runUntil(endedAt + RELEASE_MS);
+    this.time.runUntil(endedAt + RELEASE_MS);
     const lastRefusedAt = Math.max(...this.nodes.map((node) => node.lastRefusedAt));
     const isReleased = lastRefusedAt < endedAt + RELEASE_MS - 1_000;
     const releasedMs = isReleased ? Math.max(0, lastRefusedAt - endedAt) : Infinity;
@@ -128,7 +129,7 @@
   /** Loses all messages of one or both directions between two gateways, or of one gateway to all others. */
   cutLinks(): void {
     const a = this.draw(this.nodes);
-    const until = this.now + 500 + this.random() * 8_000;
+    const until = this.time.now + 500 + this.random() * 8_000;
     const isOneWay = this.random() < 0.4;
     const isAll = this.random() < 0.4;
     const other = this.draw(this.nodes);
@@ -142,7 +143,7 @@
   slowLinks(): void {
     const a = this.draw(this.nodes);
     const slowMs = 100 + this.random() * 1_400;
-    const until = this.now + 1_000 + this.random() * 6_000;
+    const until = this.time.now + 1_000 + this.random() * 6_000;
     for (const b of this.nodes) {
       if (a === b || this.random() < 0.3) continue;
       Object.assign(this.getDirection(a, b), { slowMs, slowUntil: until });
@@ -153,7 +154,7 @@
   freezeNode(): void {
     const node = this.draw(this.nodes);
     if (!node.isUp) return;
-    node.frozenUntil = this.now + 300 + this.random() * 6_000;
+    node.frozenUntil = this.time.now + 300 + this.random() * 6_000;
     node.excusedUntil = node.frozenUntil + EXCUSE_MS;
   }
 
@@ -164,11 +165,11 @@
     node.life += 1;
     node.toldAt = Infinity;
     for (const peer of this.nodes) if (peer !== node) this.closeLink(node, peer);
-    this.schedule(this.now + 300 + this.random() * 5_000, () => {
+    this.time.schedule(this.time.now + 300 + this.random() * 5_000, () => {
       node.known = this.listSeeds(node.id);
       node.limiter = this.createLimiter(node);
       node.isUp = true;
-      node.excusedUntil = this.now + EXCUSE_MS;
+      node.excusedUntil = this.time.now + EXCUSE_MS;
       this.startNode(node);
       for (const peer of this.nodes) if (peer !== node) this.connect(node, peer);
     });
@@ -212,36 +213,38 @@
     const isCurrent = (): boolean => node.life === life;
     const advance = (): void => {
       if (!isCurrent()) return;
-      node.limiter.advance(this.now);
-      this.scheduleFor(node, this.now + ADVANCE_MS, advance);
+      node.limiter.advance(this.time.now);
+      this.scheduleFor(node, this.time.now + ADVANCE_MS, advance);
     };
     const request = (): void => {
       if (!isCurrent()) return;
-      if (node.limiter.tryTake(this.now)) this.sendRequest(node);
-      else node.lastRefusedAt = this.now;
-      this.scheduleFor(node, this.now + this.drawInterval(node.demand), request);
+      if (node.limiter.tryTake(this.time.now)) this.sendRequest(node);
+      else node.lastRefusedAt = this.time.now;
+      this.scheduleFor(node, this.time.now + this.drawInterval(node.demand), request);
     };
-    this.scheduleFor(node, this.now + this.random() * ADVANCE_MS, advance);
-    if (node.demand > 0) this.scheduleFor(node, this.now + this.drawInterval(node.demand), request);
+    this.scheduleFor(node, this.time.now + this.random() * ADVANCE_MS, advance);
+    if (node.demand > 0)
+      this.scheduleFor(node, this.time.now + this.drawInterval(node.demand), request);
   }
 
   private sendRequest(node: Node): void {
     const { life } = node;
-    const sentAt = this.now;
+    const sentAt = this.time.now;
     const transitMs = 0.5 + this.random() * 3;
     // Some responses are slow to start; their heads state what held before.
     const workMs = this.random() < 0.05 ? this.random() * 2_000 : 5 + this.random() * 300;
-    this.schedule(sentAt + transitMs, () => {
-      if (this.now >= node.excusedUntil) this.arrivals.push({ at: this.now, gateway: node.id });
+    this.time.schedule(sentAt + transitMs, () => {
+      if (this.time.now >= node.excusedUntil)
+        this.arrivals.push({ at: this.time.now, gateway: node.id });
       const headDelayMs = workMs * this.random();
-      this.schedule(this.now + headDelayMs, () => {
+      this.time.schedule(this.time.now + headDelayMs, () => {
         const stated = this.limit;
-        this.schedule(this.now + workMs - headDelayMs + transitMs, () => {
+        this.time.schedule(this.time.now + workMs - headDelayMs + transitMs, () => {
           this.whenAwake(node, () => {
             if (node.life !== life) return;
-            node.limiter.observe(stated, sentAt, this.now);
+            node.limiter.observe(stated, sentAt, this.time.now);
             if (stated !== undefined && stated === this.limit) {
-              node.toldAt = Math.min(node.toldAt, this.now);
+              node.toldAt = Math.min(node.toldAt, this.time.now);
             }
           });
         });
@@ -255,37 +258,43 @@
     const attempt = (): void => {
       if (!isCurrent()) return;
       const pair = [this.getDirection(a, b), this.getDirection(b, a)];
-      const isBlocked = pair.some(({ cutUntil }) => cutUntil > this.now);
-      if (isBlocked || a.frozenUntil > this.now || b.frozenUntil > this.now) {
-        this.schedule(this.now + 100 + this.random() * 1_000, attempt);
+      const isBlocked = pair.some(({ cutUntil }) => cutUntil > this.time.now);
+      if (isBlocked || a.frozenUntil > this.time.now || b.frozenUntil > this.time.now) {
+        this.time.schedule(this.time.now + 100 + this.random() * 1_000, attempt);
         return;
       }
       for (const direction of pair) {
-        Object.assign(direction, { isOpen: true, lastHeardAt: this.now, lastArrivalAt: this.now });
+        Object.assign(direction, {
+          isOpen: true,
+          lastHeardAt: this.time.now,
+          lastArrivalAt: this.time.now,
+        });
       }
       this.openSide(a, b);
       this.openSide(b, a);
     };
-    this.schedule(this.now + 20 + this.random() * 200, attempt);
+    this.time.schedule(this.time.now + 20 + this.random() * 200, attempt);
   }
 
   /** Adds the peer at one side and sends heartbeats to it. */
   private openSide(node: Node, peer: Node): void {
     const { life } = node;
     node.known.add(peer.id);
-    node.limiter.addPeer(peer.id, this.now);
+    node.limiter.addPeer(peer.id, this.time.now);
     const outgoing = this.getDirection(node, peer);
     const incoming = this.getDirection(peer, node);
-    const openedAt = this.now;
+    outgoing.openings += 1;
+    const { openings } = outgoing;
     const beat = (): void => {
-      if (node.life !== life || !outgoing.isOpen || openedAt < incoming.lastHeardAt - 1e9) return;
-      const isSilent = this.now - incoming.lastHeardAt > defaults.heartbeatTimeoutMs;
+      const isCurrent = node.life === life && outgoing.openings === openings;
+      if (!isCurrent || !outgoing.isOpen) return;
+      const isSilent = this.time.now - incoming.lastHeardAt > defaults.heartbeatTimeoutMs;
       if (isSilent) {
         this.closeSide(node, peer, 'unresponsive');
         return;
       }
-      this.send(node, peer, { type: 'ping', sentAt: this.now });
-      this.scheduleFor(node, this.now + defaults.heartbeatCheckMs, beat);
+      this.send(node, peer, { type: 'ping', sentAt: this.time.now });
+      this.scheduleFor(node, this.time.now + defaults.heartbeatCheckMs, beat);
     };
     beat();
   }
@@ -295,11 +304,11 @@
     const outgoing = this.getDirection(node, peer);
     if (!outgoing.isOpen) return;
     outgoing.isOpen = false;
-    node.limiter.removePeer(peer.id, reason, this.now);
+    node.limiter.removePeer(peer.id, reason, this.time.now);
     const { isOpen } = this.getDirection(peer, node);
     if (!isOpen) this.connect(node, peer);
-    else if (outgoing.cutUntil <= this.now) {
-      this.scheduleFor(peer, this.now + 5, () => {
+    else if (outgoing.cutUntil <= this.time.now) {
+      this.scheduleFor(peer, this.time.now + 5, () => {
         this.closeSide(peer, node, 'closed');
       });
     }
@@ -308,11 +317,11 @@
   private closeLink(node: Node, peer: Node): void {
     this.getDirection(node, peer).isOpen = false;
     const { life } = peer;
-    this.scheduleFor(peer, this.now + 5, () => {
+    this.scheduleFor(peer, this.time.now + 5, () => {
       const direction = this.getDirection(peer, node);
       if (peer.life !== life || !direction.isOpen) return;
       direction.isOpen = false;
-      peer.limiter.removePeer(node.id, 'closed', this.now);
+      peer.limiter.removePeer(node.id, 'closed', this.time.now);
     });
   }
 
@@ -321,20 +330,20 @@
     if (!direction.isOpen) return;
     const lives = [node.life, peer.life];
     // Lost segments are sent again, so a short cut delays messages and a long one closes the link.
-    const resumeAt = Math.max(this.now, direction.cutUntil);
-    const slowMs = direction.slowUntil > this.now ? direction.slowMs : 0;
+    const resumeAt = Math.max(this.time.now, direction.cutUntil);
+    const slowMs = direction.slowUntil > this.time.now ? direction.slowMs : 0;
     const arrivesAt = Math.max(resumeAt + 1 + this.random() * 4 + slowMs, direction.lastArrivalAt);
     direction.lastArrivalAt = arrivesAt;
     this.scheduleFor(peer, arrivesAt, () => {
       const isCurrent = lives[0] === node.life && lives[1] === peer.life;
       if (!isCurrent || !direction.isOpen || !this.getDirection(peer, node).isOpen) return;
       // As `PeerLink` does after a pause, the receiver closes a link that has timed out.
-      if (this.now - direction.lastHeardAt > defaults.heartbeatTimeoutMs) {
+      if (this.time.now - direction.lastHeardAt > defaults.heartbeatTimeoutMs) {
         this.closeSide(peer, node, 'unresponsive');
         return;
       }
-      direction.lastHeardAt = this.now;
-      peer.limiter.receive(node.id, message, this.now);
+      direction.lastHeardAt = this.time.now;
+      peer.limiter.receive(node.id, message, this.time.now);
     });
   }
 
@@ -343,7 +352,7 @@
     statedAt: number,
     arrivals: readonly LimitedArrival[],
   ): PeriodResult {
-    const endedAt = this.now;
+    const endedAt = this.time.now;
     const toldAt = new Map(this.nodes.map((node) => [node.id, node.toldAt]));
     const { count, allowed } = findBusiestWindow({
       perSecond,
@@ -368,6 +377,7 @@
         lastArrivalAt: 0,
         lastHeardAt: 0,
         isOpen: false,
+        openings: 0,
       };
       this.directions.set(key, direction);
     }
@@ -385,43 +395,15 @@
   }
 
   private scheduleFor(node: Node, at: number, run: () => void): void {
-    this.schedule(at, () => {
+    this.time.schedule(at, () => {
       this.whenAwake(node, run);
     });
   }
 
   /** Runs now, or when the gateway is no longer frozen. */
   private whenAwake(node: Node, run: () => void): void {
-    if (node.frozenUntil <= this.now) run();
-    else this.schedule(node.frozenUntil + this.random(), run);
-  }
-
-  private schedule(at: number, run: () => void): void {
-    this.order += 1;
-    const event = { at: Math.max(at, this.now), order: this.order, run };
-    let low = 0;
-    let high = this.events.length;
-    while (low < high) {
-      const middle = (low + high) >> 1;
-      const other = this.events[middle];
-      const isLater =
-        other !== undefined &&
-        (other.at > event.at || (other.at === event.at && other.order > event.order));
-      if (isLater) low = middle + 1;
-      else high = middle;
-    }
-    this.events.splice(low, 0, event);
-  }
-
-  private runUntil(endAt: number): void {
-    for (;;) {
-      const next = this.events.at(-1);
-      if (next === undefined || next.at > endAt) break;
-      this.events.pop();
-      this.now = next.at;
-      next.run();
-    }
-    this.now = endAt;
+    if (node.frozenUntil <= this.time.now) run();
+    else this.time.schedule(node.frozenUntil + this.random(), run);
   }
 }
 
