fix: stop the storm of resent orders that undid map changes of large groups

Its time-outs of 60 and 100 ms ran out while it was itself busy, so answered orders counted as lost, also those to its own engine. Arming 45 ranks took 850 to 1,300 ms; the pass was chosen at most four passes ahead, so the group stood still for 500 to 900 ms a change.

Ruled out: the engine (a copy of three experts was done 380 ms after the order), the length of the plan (80 to 430 ms, between changes), lost frames (TCP).

Change: one order in flight to a rank, resent after its outcome; the time-out follows the round trips of the group (orderTimeout.ts); a time-out that runs out while the process is busy is extended and reads its input first (startTimeout.ts); the pass is chosen as far ahead as arming takes, up to 1.5 s.

Before: largeGroup.spec.ts on the landed code: changes undone and not prepared at 45 and 96 ranks. Calls to the store are now the largest price.

--- a/src/process/ranker/changeMap.ts
+++ b/src/process/ranker/changeMap.ts
@@ -2,7 +2,7 @@
 import type { GroupView, RankState } from './groupView.js';
 import type { OrderOutcome, RankOrder, RankReport } from './types.js';
 
-/** Unanswered orders are resent at this interval; a link hop and a local call take about 8 ms. */
+/** Minimum time between two sends of an order to a rank; a link hop and a local call take about 8 ms. */
 const RESEND_INTERVAL_MS = 60;
 /** Copying four experts takes 0.6 s; a change that takes much longer completes too late for its demand. */
 const PREPARE_TIMEOUT_MS = 2_500;
@@ -18,8 +18,12 @@
 const ARM_TIME_MARGIN = 1.5;
 /** Weight of the latest time to arm when it is shorter than the estimate; a longer one replaces the estimate. */
 const ARM_TIME_WEIGHT = 0.25;
-/** Maximum lead; also used while orders are lost and the time to arm has not been measured, as it then takes resends. */
-const MAX_LEAD_PASSES = 4;
+/** Lead while orders are lost and the time to arm has not been measured, as it then takes resends. */
+const UNRELIABLE_LEAD_PASSES = 4;
+/** Maximum lead of a pass; a longer one delays the switch until demand has shifted again. */
+const MAX_LEAD_MS = 1_500;
+/** Assumed share of each rank in the time from the hold to the release until one has been measured. */
+const INITIAL_ARM_MS_PER_RANK = 3;
 /** Orders count as unreliable for this long after one remained unanswered. */
 const UNRELIABLE_PERIOD_MS = 8_000;
 /** The group may begin the chosen pass before the hold takes effect; the next attempt names a later pass. */
@@ -157,7 +161,7 @@
   const isReliable =
     context.armMs !== undefined ||
     context.readClock() - context.lastUnansweredOrderAt > UNRELIABLE_PERIOD_MS;
-  let lead = isReliable ? LEAD_PASSES : MAX_LEAD_PASSES;
+  let lead = isReliable ? LEAD_PASSES : UNRELIABLE_LEAD_PASSES;
   for (let attempts = 0; attempts < MAX_HOLD_ATTEMPTS; attempts += 1) {
     const localState = context.view.ranks.get(0);
     if (localState?.report.epoch !== epoch) return undefined;
@@ -182,9 +186,10 @@
   const earliest = report.pass + lead;
   // An idle group does not reach any pass.
   if (report.running === 0) return earliest;
-  const armedAt = now + (context.armMs ?? INITIAL_ARM_MS) * ARM_TIME_MARGIN;
-  const pass = context.view.passClock.estimateFirstPass(armedAt, now) ?? earliest;
-  return Math.max(earliest, Math.min(pass, report.pass + MAX_LEAD_PASSES));
+  const initialArmMs = Math.max(INITIAL_ARM_MS, context.view.size * INITIAL_ARM_MS_PER_RANK);
+  const leadMs = Math.min((context.armMs ?? initialArmMs) * ARM_TIME_MARGIN, MAX_LEAD_MS);
+  const pass = context.view.passClock.estimateFirstPass(now + leadMs, now) ?? earliest;
+  return Math.max(earliest, pass);
 }
 
 function recordArmTime(context: ChangeContext, durationMs: number): void {
@@ -218,6 +223,7 @@
   const done = new Set<number>();
   const begun = new Set<number>();
   const sentAt = new Map<number, number>();
+  const inFlight = new Set<number>();
   const refusedBy = new Set<number>();
   for (;;) {
     const now = readClock();
@@ -229,9 +235,13 @@
     if (now >= deadlineAt) return 'late';
     for (const state of open) {
       const { rank } = state.report;
-      if (begun.has(rank) || now - (sentAt.get(rank) ?? -Infinity) < RESEND_INTERVAL_MS) continue;
+      // A resend delays the replies of all ranks, so it waits for the outcome of the order before.
+      if (begun.has(rank) || inFlight.has(rank)) continue;
+      if (now - (sentAt.get(rank) ?? -Infinity) < RESEND_INTERVAL_MS) continue;
       sentAt.set(rank, now);
+      inFlight.add(rank);
       void sendOrder(context, state, order, epoch).then((outcome) => {
+        inFlight.delete(rank);
         if (outcome === 'begun') begun.add(rank);
         else if (outcome === 'done') done.add(rank);
         else if (outcome === 'refused' && !isConfirmedNow(view, rank, isConfirmed))
@@ -267,6 +277,13 @@
   epoch: number,
 ): Promise<boolean> {
   const { view } = context;
+  const inFlight = new Set<number>();
+  const send = (state: RankState, order: RankOrder): void => {
+    const { rank } = state.report;
+    if (inFlight.has(rank)) return;
+    inFlight.add(rank);
+    void sendOrder(context, state, order, epoch).then(() => inFlight.delete(rank));
+  };
   for (;;) {
     const states = [...view.ranks.values()].sort((a, b) => a.report.rank - b.report.rank);
     if (hasOtherEpoch(states, epoch)) return false;
@@ -275,10 +292,9 @@
     for (const state of states) {
       const { armed, prepared } = state.report;
       if (armed !== undefined) {
-        void sendOrder(context, state, { kind: 'disarm', version: armed.version }, epoch);
+        send(state, { kind: 'disarm', version: armed.version });
       } else if ((prepared ?? 0) <= version && placement !== undefined) {
-        const next = { kind: 'prepare', version: version + 1, placement } as const;
-        void sendOrder(context, state, next, epoch);
+        send(state, { kind: 'prepare', version: version + 1, placement });
       } else continue;
       isRolledBack = false;
     }
--- a/src/process/ranker/groupLinks.ts
+++ b/src/process/ranker/groupLinks.ts
@@ -7,6 +7,7 @@
 import type { RankerSettings } from '../settings/rankerSettings.js';
 import { computeCopyMs } from './changeCosts.js';
 import type { GroupView } from './groupView.js';
+import { OrderTimeout } from './orderTimeout.js';
 import { RemoteRank, SharedPlacementEncoder } from './remoteRankOrders.js';
 import type { PackedSelections } from './selectionCodec.js';
 import type { ExpertLayout } from './types.js';
@@ -32,9 +33,11 @@
   layout: ExpertLayout | undefined;
   private readonly addresses = new Set<string>();
   private readonly encoder = new SharedPlacementEncoder();
+  private readonly orderTimeout: OrderTimeout;
 
   constructor(private readonly options: GroupLinksOptions) {
     this.view = options.view;
+    this.orderTimeout = new OrderTimeout(options.view.size);
   }
 
   /** Refreshes the expert layout and connects to the rankers of the group until aborted. */
@@ -85,6 +88,10 @@
     this.view.addSelections(rank, epoch, packed, this.layout, performance.now());
   }
 
+  private createRemoteRank(link: PeerLink): RemoteRank {
+    return new RemoteRank(link, this.encoder, this.orderTimeout, () => performance.now());
+  }
+
   private connectToRanker(engineAddress: string): void {
     const { settings, metrics, logger, signal, self } = this.options;
     const { host } = parseAddress(engineAddress);
@@ -106,7 +113,7 @@
             return;
           }
           linkedRank = message.report.rank;
-          const remote = remoteRanks.get(link) ?? new RemoteRank(link, this.encoder);
+          const remote = remoteRanks.get(link) ?? this.createRemoteRank(link);
           remoteRanks.set(link, remote);
           const { prepared, armed, held, ...report } = message.report;
           this.view.applyStatus(
--- a/src/process/ranker/remoteRankOrders.spec.ts
+++ b/src/process/ranker/remoteRankOrders.spec.ts
@@ -3,6 +3,7 @@
 import fc from 'fast-check';
 import { decodeBody, encodeFrame } from '../../connection/frameCodec.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
+import { OrderTimeout } from './orderTimeout.js';
 import { decodePlacement, encodePlacement } from './placementCodec.js';
 import { RankOrderDecoder, RemoteRank, SharedPlacementEncoder } from './remoteRankOrders.js';
 import type { OrderOutcome, RankOrder } from './types.js';
@@ -58,7 +59,11 @@
     });
     return true;
   };
-  const exchange: Exchange = { remote: new RemoteRank({ send }, encoder), orders: [], bytes: 0 };
+  const exchange: Exchange = {
+    remote: new RemoteRank({ send }, encoder, new OrderTimeout(RANKS), () => 0),
+    orders: [],
+    bytes: 0,
+  };
   return exchange;
 };
 
--- a/src/process/ranker/remoteRankOrders.ts
+++ b/src/process/ranker/remoteRankOrders.ts
@@ -1,14 +1,14 @@
 import type { PeerLink } from '../../connection/peerLink.js';
 import type { MessageOf } from '../../protocol/messages.js';
 import type { GroupPlacement } from '../../version/placement/types.js';
+import { startTimeout } from '../startTimeout.js';
+import type { OrderTimeout } from './orderTimeout.js';
 import { decodePlacement, encodePlacement } from './placementCodec.js';
 import type { OrderOutcome, RankOrder } from './types.js';
 
 type WireOrder = MessageOf<'rankOrder'>['order'];
 type Link = Pick<PeerLink, 'send'>;
 
-/** Covers a link round trip and one call to the engine. */
-const ORDER_TIMEOUT_MS = 100;
 /** Maps remembered for each link; the sender bases a map on the last one that was confirmed. */
 const MAX_REMEMBERED_MAPS = 8;
 
@@ -39,7 +39,7 @@
 
 /** Sends orders over the link to the ranker of one rank. */
 export class RemoteRank {
-  private readonly calls = new Map<number, (outcome: OrderOutcome) => void>();
+  private readonly calls = new Map<number, (outcome: OrderOutcome, isReply: boolean) => void>();
   private nextCallId = 1;
   /** Call of an order whose map the ranker is known to have; versions may name two maps, calls do not. */
   private confirmed: { call: number; placement: GroupPlacement } | undefined;
@@ -47,6 +47,8 @@
   constructor(
     private readonly link: Link,
     private readonly encoder: SharedPlacementEncoder,
+    private readonly timeout: OrderTimeout,
+    private readonly readClock: () => number,
   ) {}
 
   /**
@@ -73,7 +75,7 @@
    * @param reply - Reply of the ranker
    */
   receiveReply(reply: Pick<MessageOf<'rankOrderReply'>, 'call' | 'outcome'>): void {
-    this.calls.get(reply.call)?.(reply.outcome);
+    this.calls.get(reply.call)?.(reply.outcome, true);
   }
 
   private encodeOrder(order: RankOrder): WireOrder {
@@ -86,12 +88,14 @@
 
   private performCall(call: number, order: WireOrder, epoch: number): Promise<OrderOutcome> {
     return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        this.calls.get(call)?.('unknown');
-      }, ORDER_TIMEOUT_MS);
-      this.calls.set(call, (outcome) => {
-        clearTimeout(timer);
+      const sentAt = this.readClock();
+      const cancelTimeout = startTimeout(this.timeout.durationMs, () => {
+        this.calls.get(call)?.('unknown', false);
+      });
+      this.calls.set(call, (outcome, isReply) => {
+        cancelTimeout();
         this.calls.delete(call);
+        if (isReply) this.timeout.recordReply(this.readClock() - sentAt);
         resolve(outcome);
       });
       this.link.send({ type: 'rankOrder', call, epoch, order });
