--- a/src/process/gateway/listingHistory.ts
+++ b/src/process/gateway/listingHistory.ts
@@ -56,8 +56,8 @@
   }
 }
 
-function describeEntry({ heartbeat: _heartbeat, ...entry }: UpstreamEntry): string {
-  return JSON.stringify(entry);
+function describeEntry(entry: UpstreamEntry): string {
+  return JSON.stringify({ ...entry, heartbeat: undefined });
 }
 
 function isSame(
