perf: admission decisions that do not grow with gateways and routes

Cause, read and timed: each decision looked into the counts of every gateway for every upstream, computed the shortest gap from all routes for every upstream (a configuration may have 1,480), and each received frame of counts tried every queued request at every upstream.

Change: peer counts are kept as sums (peerCounts.ts), the shortest gap once for each configuration, one dispatch for each turn of the event loop, and none of the later requests is tried once one that any upstream may serve finds no capacity. Services with more than 64 upstreams are sampled (24), which also keeps gateways from choosing the same upstream by late counts. Counts are encoded once for all links, without the list of addresses except once a second, and every 2.5 ms a link instead of 40 ms.

--- a/src/connection/peerLink.ts
+++ b/src/connection/peerLink.ts
@@ -83,8 +83,17 @@
    * @returns False if the link is closed and the message was dropped
    */
   send(message: Message): boolean {
+    return !this.closed && this.sendFrame(encodeFrame(message));
+  }
+
+  /**
+   * Sends a message that is already encoded, as one for many links is.
+   *
+   * @param frame - Frame with its length
+   * @returns False if the link is closed
+   */
+  sendFrame(frame: Buffer): boolean {
     if (this.closed || this.socket.destroyed) return false;
-    const frame = encodeFrame(message);
     this.counters.sent += 1;
     this.counters.bytesSent += frame.length;
     this.batch.push(frame);
--- a/src/process/gateway/configurationCache.ts
+++ b/src/process/gateway/configurationCache.ts
@@ -1,10 +1,13 @@
 import type { RoutingConfiguration, Workspace } from '../../version/routing/types.js';
+import type { ServiceId } from '../../ids.js';
 import { RouteTable } from '../../version/routing/routeTable.js';
 
 /** A configuration version together with its route table. */
 export interface CachedConfiguration {
   readonly configuration: RoutingConfiguration;
   readonly table: RouteTable;
+  /** Shortest gap between events that the streams of a service allow; services without streams are left out. */
+  readonly maxGapsMs: ReadonlyMap<ServiceId, number>;
   /** Configuration text as published, which peers may request. */
   readonly document: string;
 }
@@ -42,7 +45,12 @@
     if (configuration.version < this.version) return false;
     this.validatedAt = Math.max(this.validatedAt, readStartedAt);
     if (configuration.version === this.version) return false;
-    this.held = { configuration, table: new RouteTable(configuration), document };
+    this.held = {
+      configuration,
+      table: new RouteTable(configuration),
+      maxGapsMs: computeMaxGaps(configuration),
+      document,
+    };
     return true;
   }
 
@@ -87,3 +95,14 @@
     return this.held?.configuration.workspaceByKey?.get(key);
   }
 }
+
+function computeMaxGaps({ routes }: RoutingConfiguration): Map<ServiceId, number> {
+  const gapsMs = new Map<ServiceId, number>();
+  for (const { eventGapTargetMs, shares } of routes) {
+    if (eventGapTargetMs <= 0) continue;
+    for (const { service } of shares) {
+      gapsMs.set(service, Math.min(gapsMs.get(service) ?? Infinity, eventGapTargetMs));
+    }
+  }
+  return gapsMs;
+}
--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -78,6 +78,7 @@
   private readonly incarnation = randomUUID();
   private metricsServer: Server | undefined;
   private isDraining = false;
+  private isDispatchScheduled = false;
 
   constructor(
     private readonly settings: GatewaySettings,
@@ -168,7 +169,7 @@
       signal: this.stopController.signal,
       readClock: () => this.readClock(),
       onCapacityChanged: () => {
-        this.dispatchAll();
+        this.scheduleDispatch();
       },
       onCrashReceived: (fingerprint) => {
         this.context.suspects.recordCrash(fingerprint, this.readClock());
@@ -353,6 +354,16 @@
     return this.clock.readNow(performance.now(), Date.now());
   }
 
+  /** Dispatches once after the messages of this turn of the event loop; each peer sends counts several times a second. */
+  private scheduleDispatch(): void {
+    if (this.isDispatchScheduled) return;
+    this.isDispatchScheduled = true;
+    setImmediate(() => {
+      this.isDispatchScheduled = false;
+      this.dispatchAll();
+    });
+  }
+
   private dispatchAll(): void {
     const now = this.readClock();
     for (const queue of this.queues.values()) if (queue.length > 0) queue.dispatchQueued(now);
@@ -367,12 +378,7 @@
   }
 
   private getMaxGapMs(service: ServiceId): number {
-    let lowest = Infinity;
-    for (const route of this.configurationCache.current?.configuration.routes ?? []) {
-      if (route.eventGapTargetMs <= 0 || route.eventGapTargetMs >= lowest) continue;
-      if (route.shares.some((share) => share.service === service)) lowest = route.eventGapTargetMs;
-    }
-    return lowest;
+    return this.configurationCache.current?.maxGapsMs.get(service) ?? Infinity;
   }
 
   private getQueue(service: ServiceId): AdmissionQueue {
--- a/src/process/gateway/gatewayPeers.ts
+++ b/src/process/gateway/gatewayPeers.ts
@@ -1,5 +1,6 @@
 import type { CloseReason, Hello, MessageHandlers, PeerLink } from '../../connection/peerLink.js';
 import { maintainLink } from '../../connection/linkClient.js';
+import { encodeFrame } from '../../connection/frameCodec.js';
 import { LinkServer } from '../../connection/linkServer.js';
 import type { HandshakeError } from '../../connection/handshake.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
@@ -13,6 +14,8 @@
 
 /** Interval at which changed in-flight counts are broadcast; half a round trip between zones is 1.4 ms. */
 const COUNT_BROADCAST_INTERVAL_MS = 40;
+/** With many gateways counts are sent less often, so that a gateway sends and receives about 400 frames a second. */
+const COUNT_INTERVAL_MS_PER_LINK = 2.5;
 /** Peers in other zones reply within 5 ms; a frozen one must not delay the next read of the store. */
 const QUERY_TIMEOUT_MS = 120;
 /** Interval at which unchanged counts are sent again, so that they do not expire at the peer. */
@@ -86,6 +89,7 @@
   private nextCall = 1;
   private lastSentCounts = '';
   private lastSentAt = -Infinity;
+  private addressesSentAt = -Infinity;
 
   constructor(private readonly options: GatewayPeersOptions) {
     const [host = '', port = '0'] = options.address.split(':');
@@ -297,6 +301,7 @@
     this.knownAddresses.add(host);
     this.lastSeenAt.set(host, Infinity);
     this.lastSentCounts = '';
+    this.addressesSentAt = -Infinity;
     this.options.logger.info({ peer: processId, address: host }, 'peer linked');
     if (features?.includes(RATE_LIMIT_FEATURE) === true) {
       rateLimiter.addPeer(processId, readClock());
@@ -313,12 +318,18 @@
 
   private broadcastCounts(now: number): void {
     if (this.links.size === 0) return;
+    const intervalMs = this.links.size * COUNT_INTERVAL_MS_PER_LINK;
+    if (now - this.lastSentAt < intervalMs) return;
     const running = Object.fromEntries(this.options.balancer.listInFlight());
     const text = JSON.stringify(running);
     if (text === this.lastSentCounts && now - this.lastSentAt < COUNT_REFRESH_INTERVAL_MS) return;
     this.lastSentCounts = text;
     this.lastSentAt = now;
-    const peers = [this.options.address, ...this.knownAddresses];
-    for (const link of this.links.values()) link.send({ type: 'gatewayCounts', running, peers });
+    // New addresses are passed on within a second, so most frames do without them.
+    const isRefresh = now - this.addressesSentAt >= COUNT_REFRESH_INTERVAL_MS;
+    if (isRefresh) this.addressesSentAt = now;
+    const peers = isRefresh ? [this.options.address, ...this.knownAddresses] : [];
+    const frame = encodeFrame({ type: 'gatewayCounts', running, peers });
+    for (const link of this.links.values()) link.sendFrame(frame);
   }
 }
--- a/src/request/admission/admission.spec.ts
+++ b/src/request/admission/admission.spec.ts
@@ -281,3 +281,87 @@
     expect((await settled).unwrapErr().rateLimited).to.deep.equal(['a', 'b']);
   });
 });
+
+describe('admission with hundreds of upstreams and many gateways', () => {
+  const many: readonly UpstreamEntry[] = Array.from({ length: 192 }, (_, index) => ({
+    id: toId<UpstreamId>(`u-${index}`),
+    service,
+    address: `10.0.0.${index}:80`,
+    availabilityZone: zone,
+    slots: 2,
+    isDraining: false,
+  }));
+  const countReads = () => {
+    const reads = { gaps: 0, listings: 0 };
+    const balancer = new UpstreamBalancer({
+      availabilityZone: zone,
+      listReady: () => {
+        reads.listings += 1;
+        return many;
+      },
+      getService: () => ({ id: service, maxConnections: 9, engine }),
+      getMaxGapMs: () => {
+        reads.gaps += 1;
+        return 120;
+      },
+    });
+    return { balancer, reads };
+  };
+
+  // The largest gap was computed from all routes for each upstream, which thousands of routes made take milliseconds.
+  it('guards against a decision that reads the routes for each upstream', () => {
+    const { balancer, reads } = countReads();
+    balancer.tryReserve(createRequest(), 0);
+    expect(reads).to.deep.equal({ gaps: 1, listings: 1 });
+  });
+
+  // Each of 35 gateways sends counts several times a second, and each frame tried all queued requests at all upstreams.
+  it('guards against trying each queued request while no upstream has capacity', async () => {
+    const { balancer, reads } = countReads();
+    const counts = new Map<string, number>(many.map(({ id }) => [id, 9]));
+    balancer.applyPeerCounts('gateway-1', counts, 0);
+    const queue = new AdmissionQueue(service, balancer);
+    for (let release = 0; release < 2_000; release += 1) queue.recordRelease(0);
+    const answers = Array.from({ length: 50 }, () =>
+      queue.acquire(createRequest({ maxWaitMs: 1_000 }), 0, new AbortController().signal),
+    );
+    expect(queue.length).to.equal(50);
+    reads.gaps = 0;
+    queue.dispatchQueued(10);
+    // The sample and, as it has no capacity, all upstreams are read once.
+    expect(reads.gaps).to.equal(2);
+    balancer.applyPeerCounts('gateway-1', new Map(), 20);
+    queue.dispatchQueued(20);
+    expect(queue.length).to.equal(0);
+    for (const answer of answers) expect((await answer).isOk()).to.equal(true);
+  });
+
+  // Between two exchanges of counts, each of 36 gateways saw the same idle upstream as the least loaded one.
+  it('guards against all gateways choosing the upstream that is idle by late counts', () => {
+    const gateways = 36;
+    const rounds = 40;
+    const slots = 4;
+    let overloaded = 0;
+    for (let round = 0; round < rounds; round += 1) {
+      const idle = many[round]!.id;
+      const counts = new Map<string, number>();
+      for (const { id } of many) if (id !== idle) counts.set(id, 1);
+      let chosen = 0;
+      for (let gateway = 0; gateway < gateways; gateway += 1) {
+        const { balancer } = countReads();
+        balancer.applyPeerCounts('gateway-1', counts, 0);
+        if (balancer.tryReserve(createRequest(), 0)?.upstream.id === idle) chosen += 1;
+      }
+      if (chosen > 2 * slots) overloaded += 1;
+    }
+    expect(overloaded).to.be.below(rounds / 4);
+  });
+
+  it('guards against a refusal while an upstream outside of the sample has capacity', () => {
+    const { balancer } = countReads();
+    const counts = new Map<string, number>();
+    for (const { id } of many) if (id !== many[77]!.id) counts.set(id, 9);
+    balancer.applyPeerCounts('gateway-1', counts, 0);
+    expect(balancer.tryReserve(createRequest(), 0)?.upstream.id).to.equal(many[77]!.id);
+  });
+});
--- a/src/request/admission/admissionQueue.ts
+++ b/src/request/admission/admissionQueue.ts
@@ -111,6 +111,8 @@
    * @param now - Milliseconds
    */
   dispatchQueued(now: number): void {
+    // Once a request that any upstream may serve finds no capacity, neither do the ones after it.
+    let hasCapacity = true;
     for (const entry of [...this.waiting]) {
       const { request, settle } = entry;
       if (now >= request.expiresAt) {
@@ -118,26 +120,34 @@
         settle(Err(this.createRefusal('expired', 0, this.computeRetryAfter(0))));
         continue;
       }
-      const reservation = this.balancer.tryReserve(request, now);
+      const reservation = hasCapacity ? this.balancer.tryReserve(request, now) : undefined;
       if (reservation !== undefined) {
         this.remove(entry);
         settle(Ok(reservation));
       } else if (!this.balancer.hasUpstream(request)) {
         this.remove(entry);
         settle(Err(this.createRefusal('no_upstream', 0, MIN_RETRY_AFTER_MS * 2)));
-      } else this.refuseBeyondLimit(entry, now);
+      } else {
+        const isLimited = this.refuseBeyondLimit(entry, now);
+        if (!isLimited && request.excluded.size === 0) hasCapacity = false;
+      }
     }
   }
 
-  /** Refuses a queued request once the permits that it waits for are known to come too late. */
-  private refuseBeyondLimit(entry: QueuedRequest, now: number): void {
+  /**
+   * Refuses a queued request once the permits that it waits for are known to come too late.
+   *
+   * @returns Whether it waits for permits only
+   */
+  private refuseBeyondLimit(entry: QueuedRequest, now: number): boolean {
     const { request, queuedAt, settle } = entry;
     const ahead = this.waiting.slice(0, this.waiting.indexOf(entry));
     const permitWait = this.findPermitWait(request, ahead, now);
-    if (permitWait === undefined) return;
-    if (now - queuedAt + permitWait.delayMs <= request.maxWaitMs) return;
+    if (permitWait === undefined) return false;
+    if (now - queuedAt + permitWait.delayMs <= request.maxWaitMs) return true;
     this.remove(entry);
     settle(Err(this.createLimitRefusal(permitWait)));
+    return true;
   }
 
   /** Returns undefined unless the request can only wait for a permit. */
--- a/src/request/admission/upstreamBalancer.ts
+++ b/src/request/admission/upstreamBalancer.ts
@@ -2,17 +2,21 @@
 import type { ServiceDefinition, UpstreamEntry } from '../../version/routing/types.js';
 import type { SendLimiter } from '../rateLimit/types.js';
 import { GroupHealth } from './groupHealth.js';
+import { PeerCounts } from './peerCounts.js';
 import { PaceEstimator } from './paceEstimator.js';
 import type { Reservation, ReservationRequest } from './types.js';
 
 /** Time without new work after a fault; doubles with each consecutive fault. */
 const FAULT_BACKOFF_MS = 400;
 const MAX_FAULT_BACKOFF_MS = 3_200;
-/** Peer counts normally arrive about 60 ms late; those of an unresponsive gateway are dropped after this time. */
-const PEER_COUNT_TTL_MS = 3_000;
 /** Prefers the local availability zone among equally loaded upstreams; less than the weight of one request. */
 const CROSS_ZONE_LOAD_PENALTY = 0.4;
 
+/** Services with more upstreams are sampled. */
+const MIN_SAMPLED_UPSTREAMS = 64;
+/** Upstreams drawn for a decision; among so many the least loaded is close to the least loaded of all. */
+const SAMPLE_SIZE = 24;
+
 /** Limiter of upstreams that have no rate limits. */
 const noLimits: SendLimiter = {
   checkPermit: () => 'unlimited',
@@ -32,6 +36,12 @@
   readonly cost: number;
 }
 
+interface Choice {
+  readonly chosen: UpstreamEntry | undefined;
+  /** Upstreams with less load that lack a permit. */
+  readonly passedOver: readonly UpstreamEntry[];
+}
+
 interface UpstreamLoad {
   localInFlight: number;
   faults: number;
@@ -41,11 +51,6 @@
   readonly pace: PaceEstimator;
 }
 
-interface PeerCounts {
-  readonly at: number;
-  readonly counts: ReadonlyMap<string, number>;
-}
-
 /** Configuration and upstream state that the balancer reads. */
 export interface BalancerSources {
   readonly availabilityZone: AvailabilityZoneId;
@@ -59,7 +64,7 @@
 export class UpstreamBalancer {
   readonly health = new GroupHealth();
   private readonly loads = new Map<UpstreamId, UpstreamLoad>();
-  private readonly peers = new Map<string, PeerCounts>();
+  private readonly peerCounts = new PeerCounts();
 
   constructor(
     private readonly sources: BalancerSources,
@@ -214,7 +219,7 @@
    * @param now - Current time in milliseconds
    */
   applyPeerCounts(peer: string, counts: ReadonlyMap<string, number>, now: number): void {
-    this.peers.set(peer, { at: now, counts });
+    this.peerCounts.apply(peer, counts, now);
   }
 
   /**
@@ -223,7 +228,7 @@
    * @param peer - Process id of the gateway
    */
   removePeer(peer: string): void {
-    this.peers.delete(peer);
+    this.peerCounts.remove(peer);
   }
 
   /**
@@ -256,19 +261,34 @@
     return described;
   }
 
-  private chooseUpstream(
+  private chooseUpstream(request: ReservationRequest, now: number): Choice {
+    const ready = this.sources.listReady(request.service);
+    if (ready.length > MIN_SAMPLED_UPSTREAMS) {
+      // Counts of other gateways are late: all would choose the same upstream that is idle by these counts.
+      const choice = this.chooseAmong(drawSample(ready), request, now);
+      if (choice.chosen !== undefined) return choice;
+    }
+    return this.chooseAmong(ready, request, now);
+  }
+
+  private chooseAmong(
+    upstreams: readonly UpstreamEntry[],
     request: ReservationRequest,
     now: number,
-  ): { readonly chosen: UpstreamEntry | undefined; readonly passedOver: readonly UpstreamEntry[] } {
+  ): Choice {
     let chosen: UpstreamEntry | undefined;
     let lowest = Infinity;
     const withoutPermit: Candidate[] = [];
-    for (const upstream of this.sources.listReady(request.service)) {
+    const engine = this.sources.getService(request.service)?.engine;
+    const maxGapMs = engine === undefined ? 0 : this.sources.getMaxGapMs(request.service);
+    for (const upstream of upstreams) {
       if (request.excluded.has(upstream.id)) continue;
       const load = this.getLoad(upstream.id);
       if (load.backoffUntil > now || !this.health.isAvailable(upstream.id, now)) continue;
-      const running = this.countInFlight(upstream.id, now);
-      if (running >= this.computeConcurrencyLimit(upstream)) continue;
+      const running = load.localInFlight + this.peerCounts.getSum(upstream.id, now);
+      const limit =
+        engine === undefined ? upstream.slots : load.pace.computeConcurrencyLimit(maxGapMs, engine);
+      if (running >= limit) continue;
       const isLocalZone = upstream.availabilityZone === this.sources.availabilityZone;
       const cost = running + (isLocalZone ? 0 : CROSS_ZONE_LOAD_PENALTY) + Math.random();
       if (this.limiter.checkPermit(upstream, now) === 'missing') {
@@ -284,20 +304,8 @@
     return { chosen, passedOver };
   }
 
-  private computeConcurrencyLimit(upstream: UpstreamEntry): number {
-    const engine = this.sources.getService(upstream.service)?.engine;
-    if (engine === undefined) return upstream.slots;
-    const maxGapMs = this.sources.getMaxGapMs(upstream.service);
-    return this.getLoad(upstream.id).pace.computeConcurrencyLimit(maxGapMs, engine);
-  }
-
   private countInFlight(id: UpstreamId, now: number): number {
-    let running = this.getLoad(id).localInFlight;
-    for (const [peer, { at, counts }] of this.peers) {
-      if (now - at > PEER_COUNT_TTL_MS) this.peers.delete(peer);
-      else running += counts.get(id) ?? 0;
-    }
-    return running;
+    return this.getLoad(id).localInFlight + this.peerCounts.getSum(id, now);
   }
 
   private getLoad(id: UpstreamId): UpstreamLoad {
@@ -315,3 +323,12 @@
     return load;
   }
 }
+
+function drawSample(upstreams: readonly UpstreamEntry[]): UpstreamEntry[] {
+  const sample: UpstreamEntry[] = [];
+  for (let count = 0; count < SAMPLE_SIZE; count += 1) {
+    const upstream = upstreams[Math.floor(Math.random() * upstreams.length)];
+    if (upstream !== undefined) sample.push(upstream);
+  }
+  return sample;
+}
