perf: a gateway without the store asks three others for lists, not all

Cause, by arithmetic from the code: a gateway that the store turns away asked every other one for its whole upstream list at each failed read, up to five times a second: 35 lists of 17 KB.

--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -184,6 +184,7 @@
       },
     });
     this.relay = new StoreRelay({
+      metrics: this.metrics,
       self: settings.processId,
       configurationCache: this.configurationCache,
       directory: this.directory,
--- a/src/process/gateway/gatewayPeers.ts
+++ b/src/process/gateway/gatewayPeers.ts
@@ -18,6 +18,8 @@
 const COUNT_INTERVAL_MS_PER_LINK = 2.5;
 /** Peers in other zones reply within 5 ms; a frozen one must not delay the next read of the store. */
 const QUERY_TIMEOUT_MS = 120;
+/** Gateways asked for documents and lists at a time; the replies of all would fill the link of the one that asks. */
+const MAX_COMPLETE_REPLIES = 3;
 /** Interval at which unchanged counts are sent again, so that they do not expire at the peer. */
 const COUNT_REFRESH_INTERVAL_MS = 1_000;
 /** A gateway without a link is counted as running for this long; a partition may last minutes. */
@@ -149,17 +151,24 @@
   }
 
   /**
-   * Queries every linked gateway for a newer configuration and a later validation of the cached one. Resolves when all
-   * have replied or `QUERY_TIMEOUT_MS` has passed.
+   * Queries every linked gateway for a later validation of the cached configuration, and a few of them, drawn anew each
+   * time, also for a newer configuration and the upstream list. Resolves when all have replied or `QUERY_TIMEOUT_MS` has passed.
    *
    * @param version - Version of the cached configuration
    * @param configurationOnly - Does not request the upstream list, which is far longer than the rest of a reply
    * @returns False when there are other gateways but none has replied
    */
   async queryAll(version: number, configurationOnly: boolean): Promise<boolean> {
-    const links = [...this.links.values()];
+    const links = shuffle([...this.links.values()]);
     const replies = await Promise.all(
-      links.map((link) => this.sendQuery(link, { version, configurationOnly })),
+      links.map((link, index) =>
+        this.sendQuery(
+          link,
+          index < MAX_COMPLETE_REPLIES
+            ? { version, configurationOnly }
+            : { version: Number.MAX_SAFE_INTEGER, configurationOnly: true },
+        ),
+      ),
     );
     return replies.includes(true) || this.knownAddresses.size === 0;
   }
@@ -333,3 +342,12 @@
     for (const link of this.links.values()) link.sendFrame(frame);
   }
 }
+
+/** Puts items into a random order, in place. */
+function shuffle<Item>(items: Item[]): Item[] {
+  for (let last = items.length - 1; last > 0; last -= 1) {
+    const other = Math.floor(Math.random() * (last + 1));
+    [items[last], items[other]] = [items[other] as Item, items[last] as Item];
+  }
+  return items;
+}
--- a/src/process/gateway/storeRelay.spec.ts
+++ b/src/process/gateway/storeRelay.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { Metrics } from '../metrics.js';
 import { listReadersToAsk } from './storeReaders.js';
 import { StoreRelay } from './storeRelay.js';
 
@@ -30,6 +31,7 @@
     let ageMs = Infinity;
     const self = gateways.find((id) => listReadersToAsk(id, listOthers(id)).length === 2) ?? '';
     const relay = new StoreRelay({
+      metrics: new Metrics(),
       self,
       configurationCache: {
         current: hasState ? ({} as never) : undefined,
--- a/src/process/gateway/storeRelay.ts
+++ b/src/process/gateway/storeRelay.ts
@@ -1,3 +1,4 @@
+import type { Metrics } from '../metrics.js';
 import type { ConfigurationCache } from './configurationCache.js';
 import type { StoreEra } from './storeEra.js';
 import { listReadersToAsk } from './storeReaders.js';
@@ -11,6 +12,7 @@
   readonly configurationCache: Pick<ConfigurationCache, 'current' | 'computeAge'>;
   readonly directory: Pick<UpstreamDirectory, 'computeAge' | 'listAll'>;
   readonly storeEra: Pick<StoreEra, 'isConfirmed'>;
+  readonly metrics: Pick<Metrics, 'addCount'>;
   readonly readClock: () => number;
   readonly readMonotonicClock: () => number;
   /** Lists the process ids of the linked gateways. */
@@ -39,12 +41,14 @@
     this.isServed = false;
     // A process that has just started must not take its first state from a single peer.
     if (!this.hasState()) return false;
-    for (const reader of listReadersToAsk(self, listLinked())) {
+    const readers = listReadersToAsk(self, listLinked());
+    for (const reader of readers) {
       await queryGateway(reader);
       if (!this.isRecent()) continue;
       this.isServed = true;
       return true;
     }
+    if (readers.length > 0) this.options.metrics.addCount('store_relay_fallbacks');
     return false;
   }
 
