fix: plan at once when the demand of a large group has shifted

Change: once the skew exceeds the one that the last plan left by a quarter, planning may take 0.4 of the time. The test fails before.

--- a/src/process/ranker/coordinator.spec.ts
+++ b/src/process/ranker/coordinator.spec.ts
@@ -79,8 +79,19 @@
   // A plan for a large group takes 30 to 150 ms of its coordinator's processor.
   it('guards against long plans that follow each other at once', () => {
     const rate = new PlanRate();
-    expect(rate.isDue(0)).to.equal(true);
-    rate.recordPlan(0, 40);
-    expect([rate.isDue(40), rate.isDue(399), rate.isDue(400)]).to.deep.equal([false, false, true]);
+    const isDue = (now: number): boolean => rate.isDue(now, () => 1.3);
+    expect(isDue(0)).to.equal(true);
+    rate.recordPlan(0, 40, 1.2);
+    expect([isDue(40), isDue(399), isDue(400)]).to.deep.equal([false, false, true]);
+  });
+
+  // After a plan of 0.4 s, a shift of demand waited for 3.5 s, in which half of the streams were late.
+  it('guards against a shift of demand that waits until the next plan is due', () => {
+    const rate = new PlanRate();
+    rate.recordPlan(0, 400, 1.3);
+    const isDue = (now: number): boolean => rate.isDue(now, () => 2.4);
+    expect([isDue(600), isDue(999), isDue(1_000)]).to.deep.equal([false, false, true]);
+    rate.recordPlan(1_000, 1_400, 2.4);
+    expect(isDue(2_500)).to.equal(false);
   });
 });
--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -107,7 +107,7 @@
     return false;
   if (states.some(({ report }) => report.armed !== undefined)) return false;
   const plannedAt = readClock();
-  if (!planRate.isDue(plannedAt)) return false;
+  if (!planRate.isDue(plannedAt, () => computeSkew(demand.getLoad(), placement))) return false;
   const plan = planCopies(demand.getLoad(), placement, {
     slotsPerRank: layout.slotsPerRank,
     maxLoadsPerLayer: layout.maxLoadsPerLayer,
@@ -118,9 +118,10 @@
     expertShare: layout.expertShare,
   });
   const startedAt = readClock();
-  planRate.recordPlan(plannedAt, startedAt);
   metrics.recordLatency('map_plan', startedAt - plannedAt);
-  if (plan.savedMs < MIN_SAVED_MS) return false;
+  const isWorthwhile = plan.savedMs >= MIN_SAVED_MS;
+  planRate.recordPlan(plannedAt, startedAt, isWorthwhile ? plan.skewAfter : plan.skewBefore);
+  if (!isWorthwhile) return false;
   const epoch = states[0]?.report.epoch ?? 0;
   const version = versions.issue(states);
   const timer = new ChangeTimer(startedAt);
