fix: one pace for all ranks of a group

Cause: the limit of concurrent requests of an engine follows its observed pace, learned rank by rank by each gateway. All ranks of a group make each pass together, so they now share one pace at a gateway.

--- a/src/request/admission/admission.spec.ts
+++ b/src/request/admission/admission.spec.ts
@@ -364,4 +364,20 @@
     balancer.applyPeerCounts('gateway-1', counts, 0);
     expect(balancer.tryReserve(createRequest(), 0)?.upstream.id).to.equal(many[77]!.id);
   });
+
+  // With 36 gateways and 192 ranks a gateway sees each rank once in 20 s, so the limit of a rank stayed at its first
+  // value while the passes of its group took longer than the gap that the streams allow.
+  it('guards against learning the pace of a large group one rank at a time', () => {
+    const { balancer } = countReads();
+    for (const { id } of many) balancer.health.setGroup(id, 'group-1');
+    const passMs = computePassMs(1, engine) * 6;
+    for (const upstream of many.slice(0, 60)) balancer.recordEventGap(upstream, passMs, 0);
+    const unseen = many[150]!;
+    balancer.tryReserve(createRequest(), 0);
+    const paces = balancer.describe(0);
+    expect(paces[unseen.id]?.pace ?? paces[many[0]!.id]?.pace).to.be.within(5.5, 6);
+    const counts = new Map<string, number>(many.map(({ id }) => [id, 2]));
+    balancer.applyPeerCounts('gateway-1', counts, 0);
+    expect(balancer.tryReserve(createRequest(), 0)).to.equal(undefined);
+  });
 });
--- a/src/request/admission/groupHealth.ts
+++ b/src/request/admission/groupHealth.ts
@@ -40,6 +40,16 @@
     else this.groupOf.set(upstream, group);
   }
 
+  /**
+   * Finds the group of an upstream.
+   *
+   * @param upstream - Upstream id
+   * @returns Name of its group, undefined if it is not known to have one
+   */
+  findGroup(upstream: UpstreamId): string | undefined {
+    return this.groupOf.get(upstream);
+  }
+
   /**
    * Records the start of a request.
    *
--- a/src/request/admission/upstreamBalancer.ts
+++ b/src/request/admission/upstreamBalancer.ts
@@ -48,7 +48,6 @@
   /** Time of the first fault since the last complete response. */
   firstFaultAt: number;
   backoffUntil: number;
-  readonly pace: PaceEstimator;
 }
 
 /** Configuration and upstream state that the balancer reads. */
@@ -65,6 +64,8 @@
   readonly health = new GroupHealth();
   private readonly loads = new Map<UpstreamId, UpstreamLoad>();
   private readonly peerCounts = new PeerCounts();
+  /** By group, or by upstream while it is not known to belong to one. */
+  private readonly paces = new Map<string, PaceEstimator>();
 
   constructor(
     private readonly sources: BalancerSources,
@@ -208,7 +209,7 @@
   recordEventGap(upstream: UpstreamEntry, gapMs: number, now: number): void {
     const engine = this.sources.getService(upstream.service)?.engine;
     if (engine === undefined) return;
-    this.getLoad(upstream.id).pace.recordPass(gapMs, this.countInFlight(upstream.id, now), engine);
+    this.getPace(upstream.id).recordPass(gapMs, this.countInFlight(upstream.id, now), engine);
   }
 
   /**
@@ -254,7 +255,7 @@
     for (const [id, load] of this.loads) {
       described[id] = {
         running: this.countInFlight(id, now),
-        pace: Math.round(load.pace.currentPace * 100) / 100,
+        pace: Math.round(this.getPace(id).currentPace * 100) / 100,
         pausedMs: Math.max(0, Math.round(load.backoffUntil - now)),
       };
     }
@@ -287,7 +288,9 @@
       if (load.backoffUntil > now || !this.health.isAvailable(upstream.id, now)) continue;
       const running = load.localInFlight + this.peerCounts.getSum(upstream.id, now);
       const limit =
-        engine === undefined ? upstream.slots : load.pace.computeConcurrencyLimit(maxGapMs, engine);
+        engine === undefined
+          ? upstream.slots
+          : this.getPace(upstream.id).computeConcurrencyLimit(maxGapMs, engine);
       if (running >= limit) continue;
       const isLocalZone = upstream.availabilityZone === this.sources.availabilityZone;
       const cost = running + (isLocalZone ? 0 : CROSS_ZONE_LOAD_PENALTY) + Math.random();
@@ -308,6 +311,17 @@
     return this.getLoad(id).localInFlight + this.peerCounts.getSum(id, now);
   }
 
+  /** All ranks of a group make each pass together, so they share one pace. */
+  private getPace(id: UpstreamId): PaceEstimator {
+    const key = this.health.findGroup(id) ?? id;
+    let pace = this.paces.get(key);
+    if (pace === undefined) {
+      pace = new PaceEstimator();
+      this.paces.set(key, pace);
+    }
+    return pace;
+  }
+
   private getLoad(id: UpstreamId): UpstreamLoad {
     let load = this.loads.get(id);
     if (load === undefined) {
@@ -316,7 +330,6 @@
         faults: 0,
         firstFaultAt: 0,
         backoffUntil: 0,
-        pace: new PaceEstimator(),
       };
       this.loads.set(id, load);
     }
