fix: ask each gateway that has a newer configuration for it

Read in the diff: after the limit to three complete replies, a gateway that started around a restore could miss a version that only other gateways held, if it drew three that did not have it. Now all still state their version, and each with a newer one is asked for the document.

--- a/src/process/gateway/gatewayPeers.ts
+++ b/src/process/gateway/gatewayPeers.ts
@@ -86,7 +86,7 @@
   private readonly lastSeenAt = new Map<string, number>();
   private readonly pendingQueries = new Map<
     number,
-    { readonly queriedAt: number; settle(): void }
+    { readonly queriedAt: number; settle(reply: StateSnapshot): void }
   >();
   private nextCall = 1;
   private lastSentCounts = '';
@@ -152,7 +152,8 @@
 
   /**
    * Queries every linked gateway for a later validation of the cached configuration, and a few of them, drawn anew each
-   * time, also for a newer configuration and the upstream list. Resolves when all have replied or `QUERY_TIMEOUT_MS` has passed.
+   * time, also for the upstream list. Those with a newer configuration are asked for it. Resolves when all have replied
+   * or their time-outs have passed.
    *
    * @param version - Version of the cached configuration
    * @param configurationOnly - Does not request the upstream list, which is far longer than the rest of a reply
@@ -161,16 +162,17 @@
   async queryAll(version: number, configurationOnly: boolean): Promise<boolean> {
     const links = shuffle([...this.links.values()]);
     const replies = await Promise.all(
-      links.map((link, index) =>
-        this.sendQuery(
-          link,
-          index < MAX_COMPLETE_REPLIES
-            ? { version, configurationOnly }
-            : { version: Number.MAX_SAFE_INTEGER, configurationOnly: true },
-        ),
-      ),
+      links.map(async (link, index) => {
+        if (index < MAX_COMPLETE_REPLIES) {
+          return this.sendQuery(link, { version, configurationOnly });
+        }
+        const query = { version: Number.MAX_SAFE_INTEGER, configurationOnly: true };
+        const reply = await this.sendQuery(link, query);
+        const isNewer = reply !== undefined && reply.version > version;
+        return isNewer ? this.sendQuery(link, { version, configurationOnly: true }) : reply;
+      }),
     );
-    return replies.includes(true) || this.knownAddresses.size === 0;
+    return replies.some((reply) => reply !== undefined) || this.knownAddresses.size === 0;
   }
 
   /**
@@ -184,7 +186,9 @@
   async queryOne(processId: string, listing: string): Promise<boolean> {
     const link = this.links.get(processId);
     if (link === undefined) return false;
-    return this.sendQuery(link, { version: Number.MAX_SAFE_INTEGER, listing });
+    return (
+      (await this.sendQuery(link, { version: Number.MAX_SAFE_INTEGER, listing })) !== undefined
+    );
   }
 
   /** Lists the process ids of the linked gateways. */
@@ -200,21 +204,18 @@
   private sendQuery(
     link: PeerLink,
     query: Omit<MessageOf<'knowledgeAsk'>, 'type' | 'call'>,
-  ): Promise<boolean> {
+  ): Promise<StateSnapshot | undefined> {
     return new Promise((resolve) => {
       const call = this.nextCall;
       this.nextCall += 1;
-      const end = (hasReplied: boolean): void => {
+      const settle = (reply: StateSnapshot | undefined): void => {
         cancelTimeout();
         this.pendingQueries.delete(call);
-        resolve(hasReplied);
+        resolve(reply);
       };
       const cancelTimeout = startTimeout(QUERY_TIMEOUT_MS, () => {
-        end(false);
+        settle(undefined);
       });
-      const settle = (): void => {
-        end(true);
-      };
       this.pendingQueries.set(call, { queriedAt: this.options.readClock(), settle });
       link.send({ type: 'knowledgeAsk', call, ...query });
     });
@@ -245,7 +246,7 @@
         const query = this.pendingQueries.get(call);
         if (query === undefined) return;
         this.options.applySnapshot(snapshot, query.queriedAt, link.peer.processId);
-        query.settle();
+        query.settle(snapshot);
       },
       gatewayCounts: (message, link) => {
         const { balancer, readClock: readClock, onCapacityChanged } = this.options;
--- a/test/failures/storeReads.spec.ts
+++ b/test/failures/storeReads.spec.ts
@@ -10,6 +10,8 @@
 const MAX_CALLS_PER_READER = 16;
 /** A third of the polls, on a machine that is busy with other processes. */
 const MAX_FALLBACKS = 2;
+/** Two queries and a failed read, less than two rounds of polls. */
+const ONE_ROUND_MS = 350;
 /** Bound of the smallest deployments on changes of the configuration and on draining upstreams. */
 const MAX_CHANGE_MS = 2_000;
 
@@ -105,4 +107,15 @@
     expect(received).to.be.above(0);
     expect(received / failedRounds).to.be.at.most(3 * fixture.workers.length);
   }).timeout(20_000);
+
+  // Three gateways drawn at random were asked for a newer configuration, which only one of the others had.
+  it('guards against a newer version that a gateway misses because it did not ask the one that has it', async () => {
+    for (const store of fixture.stores.slice(1)) store.mode = 'busy';
+    await waitMs(SETTLE_MS);
+    fixture.publishConfiguration(2);
+    await waitUntil('version 2 read', () => readStates()[0]?.configurationVersion === 2);
+    await waitMs(ONE_ROUND_MS);
+    const versions = readStates().map(({ configurationVersion }) => configurationVersion);
+    expect(versions).to.deep.equal(new Array(GATEWAYS).fill(2));
+  }).timeout(20_000);
 });
