--- a/src/ids.ts
+++ b/src/ids.ts
@@ -19,6 +19,8 @@
 export type OrderId = Branded<'OrderId'>;
 /** One attempt to run a request on an upstream. */
 export type AttemptId = Branded<'AttemptId'>;
+/** Part of a prompt that requests may share. */
+export type PromptPartId = Branded<'PromptPartId'>;
 /** Hash of the parts of a request that may crash an upstream. */
 export type Fingerprint = Branded<'Fingerprint'>;
 
@@ -33,6 +35,7 @@
   | Incarnation
   | OrderId
   | AttemptId
+  | PromptPartId
   | Fingerprint;
 
 /**
--- a/src/process/gateway/types.ts
+++ b/src/process/gateway/types.ts
@@ -1,5 +1,5 @@
 import type { Result } from 'ts-results-es';
-import type { UpstreamId, WorkspaceId } from '../../ids.js';
+import type { PromptPartId, UpstreamId, WorkspaceId } from '../../ids.js';
 import type { RateLimitStatement } from '../../request/rateLimit/types.js';
 import type { RoutingConfiguration, UpstreamEntry } from '../../version/routing/types.js';
 
@@ -71,8 +71,8 @@
   readonly lastEventId?: number | undefined;
   readonly promptTokens?: number | undefined;
   readonly maxOutputTokens?: number | undefined;
-  /** Hash of the last shared prefix of the prompt, which identifies its session or topic. */
-  readonly prefixHash?: string | undefined;
+  /** Parts of the prompt that other requests may share, in order, without the last part of the prompt. */
+  readonly promptParts: readonly PromptPartId[];
 }
 
 /** Request headers of the platform that the gateway sets for the upstream. */
--- a/src/request/forwarding/attemptHandlers.ts
+++ b/src/request/forwarding/attemptHandlers.ts
@@ -1,10 +1,10 @@
-import type { Fingerprint } from '../../ids.js';
 import type { Reservation } from '../admission/types.js';
 import type { GatewayErrorCode } from './callerReply.js';
 import type { FinalOutcome, Forwarding } from './forwarding.js';
 import { CONFIGURATION_RETRY_AFTER_MS } from './forwarding.js';
+import { logBrokenAttempt } from './forwardLog.js';
 import { probeListener } from './probeListener.js';
-import type { AttemptOutcome, ForwardingContext } from './types.js';
+import type { AttemptOutcome } from './types.js';
 
 const MIN_SERVER_ERROR_STATUS = 500;
 /** A group that aborts work after a stall this long has lost a rank; a single broken response has no prior stall. */
@@ -12,6 +12,8 @@
 /** Upstreams that may be unreachable before the request fails. */
 const MAX_UNREACHABLE_UPSTREAMS = 4;
 
+type BrokenAttempt = Extract<AttemptOutcome, { kind: 'broken' }>;
+
 /** Handles the outcome of an attempt; undefined requests another attempt. */
 export const attemptHandlers: {
   readonly [Kind in AttemptOutcome['kind']]: (
@@ -69,17 +71,17 @@
     else balancer.health.recordFailure(reservation.upstream.id, now);
     return undefined;
   },
-  broken: (forwarding, _outcome, reservation) => {
-    const { context, fingerprint } = forwarding;
+  broken: (forwarding, outcome, reservation) => {
+    const { context } = forwarding;
     const now = context.readClock();
     forwarding.mayHaveRun = true;
     context.balancer.recordFault(reservation.upstream.id, now);
-    if (
-      context.balancer.health.computeStallMs(reservation.upstream.id, now) > GROUP_FAILURE_STALL_MS
-    ) {
+    const stalledMs = context.balancer.health.computeStallMs(reservation.upstream.id, now);
+    if (stalledMs > GROUP_FAILURE_STALL_MS) {
       context.balancer.health.recordFailure(reservation.upstream.id, now);
+      logBrokenAttempt(forwarding, outcome, reservation, { cause: 'group_stalled', stalledMs });
     } else {
-      void confirmCrash(context, reservation, fingerprint);
+      void confirmCrash(forwarding, outcome, reservation, stalledMs);
     }
     return isRepeatAllowed(forwarding) ? undefined : endWithError(forwarding, 'broken');
   },
@@ -98,11 +100,16 @@
 
 /** Records a crash if the upstream no longer accepts connections; a broken response alone does not prove one. */
 async function confirmCrash(
-  context: ForwardingContext,
+  forwarding: Forwarding,
+  outcome: BrokenAttempt,
   reservation: Reservation,
-  fingerprint: Fingerprint,
+  stalledMs: number,
 ): Promise<void> {
-  if (await probeListener(reservation.upstream.address)) return;
+  const { context, fingerprint } = forwarding;
+  const isListening = await probeListener(reservation.upstream.address);
+  const cause = isListening ? 'response' : 'crash';
+  logBrokenAttempt(forwarding, outcome, reservation, { cause, stalledMs });
+  if (isListening) return;
   const now = context.readClock();
   context.suspects.recordCrash(fingerprint, now);
   context.broadcastCrash(fingerprint);
--- a/src/request/forwarding/forwardLog.ts
+++ b/src/request/forwarding/forwardLog.ts
@@ -1,6 +1,7 @@
 import type { RequestMetadata } from '../../process/gateway/types.js';
+import type { Reservation } from '../admission/types.js';
 import type { FinalOutcome, Forwarding } from './forwarding.js';
-import type { ForwardingContext } from './types.js';
+import type { AttemptOutcome, ForwardingContext } from './types.js';
 
 /**
  * Logs a request that was refused admission.
@@ -56,3 +57,40 @@
     'request ended',
   );
 }
+
+/** Why an attempt broke off: the response alone, the upstream's process, or a lost rank of its group. */
+export interface BreakFinding {
+  readonly cause: 'response' | 'crash' | 'group_stalled';
+  /** Time without progress of the group. */
+  readonly stalledMs: number;
+}
+
+/**
+ * Logs an attempt that ended without a complete response, with what its prompt shares with others.
+ *
+ * @param forwarding - State of the request
+ * @param outcome - Outcome of the attempt
+ * @param reservation - Reservation of the attempt
+ * @param finding - Why it broke off
+ */
+export function logBrokenAttempt(
+  { context, metadata }: Forwarding,
+  { reason, progress }: Extract<AttemptOutcome, { kind: 'broken' }>,
+  { upstream }: Reservation,
+  { cause, stalledMs }: BreakFinding,
+): void {
+  context.metrics.addCount(`attempts_broken_${cause}`);
+  context.logger.info(
+    {
+      requestId: metadata.requestId ?? '',
+      upstream: upstream.id,
+      cause,
+      reason,
+      hasHead: progress.hasHead,
+      events: progress.events,
+      stalledMs: Math.round(stalledMs),
+      promptParts: metadata.promptParts.join(','),
+    },
+    'attempt broke off',
+  );
+}
--- a/src/request/forwarding/runAttempt.ts
+++ b/src/request/forwarding/runAttempt.ts
@@ -107,6 +107,7 @@
   private readonly splitter = new EventSplitter();
   private isStream = false;
   private lastEventId: number;
+  private events = 0;
   private bodyBytes = 0;
   private takenBytes = 0;
   /** Bytes of comments, and of events that the caller has already received, since the last new event. */
@@ -122,12 +123,12 @@
     this.head = head;
     if (head.isNotExecuted) return { kind: 'not_run', head, reason: describeRefusal(head) };
     if (head.requestId !== this.options.requestId) {
-      return { kind: 'broken', reason: 'response has the id of another request' };
+      return this.createBroken('response has the id of another request');
     }
     const isSuccess = head.status >= OK_STATUS && head.status < 300;
-    if (head.isEncoded) return { kind: 'broken', reason: 'response has a content encoding' };
+    if (head.isEncoded) return this.createBroken('response has a content encoding');
     if (isSuccess && !head.isSigned)
-      return { kind: 'broken', reason: 'successful response without signature' };
+      return this.createBroken('successful response without signature');
     const type = head.headers.find(([name]) => name.toLowerCase() === 'content-type');
     this.isStream = head.status === OK_STATUS && STREAM_TYPE.test(type?.[1] ?? '');
     return this.isStream ? undefined : this.checkBodySize(head.contentLength ?? 0);
@@ -144,7 +145,7 @@
     for (const event of this.splitter.readEvents(data)) {
       if (event.bytes.length > this.options.limits.maxEventBytes) return this.createEventFault();
       if (event.id === undefined) {
-        if (!isComment(event.bytes)) return { kind: 'broken', reason: 'event without an id' };
+        if (!isComment(event.bytes)) return this.createBroken('event without an id');
         this.repeatedBytes += event.bytes.length;
         this.callerCaughtUp = this.options.onComment(this.head, event.bytes);
         continue;
@@ -154,12 +155,10 @@
         continue;
       }
       if (event.id !== this.lastEventId + 1) {
-        return {
-          kind: 'broken',
-          reason: `event ${event.id} received after event ${this.lastEventId}`,
-        };
+        return this.createBroken(`event ${event.id} received after event ${this.lastEventId}`);
       }
       this.lastEventId = event.id;
+      this.events += 1;
       this.repeatedBytes = 0;
       this.callerCaughtUp = this.options.onEvent(this.head, event.id, event.bytes);
     }
@@ -184,7 +183,7 @@
     }
     this.chunks.length = 0;
     const reason = `no memory left for a response body of ${this.bodyBytes} bytes`;
-    return { kind: 'broken', reason };
+    return this.createBroken(reason);
   }
 
   private checkBodySize(bytes: number): AttemptOutcome | undefined {
@@ -192,24 +191,29 @@
     if (bytes <= maxBodyBytes) return undefined;
     // A rejected body is not kept for the rest of the request.
     this.chunks.length = 0;
-    return { kind: 'broken', reason: `response body exceeds ${maxBodyBytes} bytes` };
+    return this.createBroken(`response body exceeds ${maxBodyBytes} bytes`);
+  }
+
+  private createBroken(reason: string): AttemptOutcome {
+    const progress = { hasHead: this.head !== undefined, events: this.events };
+    return { kind: 'broken', reason, progress };
   }
 
   private createEventFault(): AttemptOutcome {
     const { maxEventBytes } = this.options.limits;
-    return { kind: 'broken', reason: `no new event within ${maxEventBytes} bytes of the stream` };
+    return this.createBroken(`no new event within ${maxEventBytes} bytes of the stream`);
   }
 
   finish(isComplete: boolean, error: Error | undefined): AttemptOutcome {
     if (this.head === undefined) {
-      return { kind: 'broken', reason: error?.message ?? 'connection closed before a response' };
+      return this.createBroken(error?.message ?? 'connection closed before a response');
     }
-    if (!isComplete) return { kind: 'broken', reason: error?.message ?? 'response was truncated' };
+    if (!isComplete) return this.createBroken(error?.message ?? 'response was truncated');
     if (!this.isStream) {
       return { kind: 'answered', head: this.head, body: Buffer.concat(this.chunks) };
     }
     if (this.splitter.partialEventBytes > 0)
-      return { kind: 'broken', reason: 'stream ended within an event' };
+      return this.createBroken('stream ended within an event');
     return { kind: 'streamed', head: this.head };
   }
 }
--- a/src/request/forwarding/types.ts
+++ b/src/request/forwarding/types.ts
@@ -47,6 +47,13 @@
   readonly response: ServerResponse;
 }
 
+/** How far the response of an attempt had come. */
+export interface ResponseProgress {
+  readonly hasHead: boolean;
+  /** New events of a stream. */
+  readonly events: number;
+}
+
 /** Outcome of one attempt at an upstream. */
 export type AttemptOutcome =
   /** Complete response that is not an event stream. */
@@ -58,6 +65,6 @@
   /** The upstream reported that the request has not run. */
   | { readonly kind: 'not_run'; readonly head: ResponseHead; readonly reason: string }
   /** The request may have run, but no complete response was received. */
-  | { readonly kind: 'broken'; readonly reason: string }
+  | { readonly kind: 'broken'; readonly reason: string; readonly progress: ResponseProgress }
   /** The attempt was aborted because the caller disconnected or the time limit was reached. */
   | { readonly kind: 'aborted'; readonly reason: 'caller_gone' | 'time_limit' };
