--- a/test/standins/platformWorker.ts
+++ b/test/standins/platformWorker.ts
@@ -41,6 +41,12 @@
   readonly receivedRequests: ReceivedRequest[];
   /** Delay between two events, milliseconds. */
   eventIntervalMs: number;
+  /** Part of a prompt that ends the worker when it begins to write a response; see `restartMs`. */
+  crashingPart: string | undefined;
+  /** Time after which a worker that has crashed listens again, milliseconds. */
+  restartMs: number;
+  /** Called when the worker listens again. */
+  onRestarted: (() => void) | undefined;
   /** Value of the rate limit header in each signed response; none is sent while undefined. */
   rateLimit: string | undefined;
   /** Called for each request, before the behaviour of the response is chosen. */
@@ -49,6 +55,8 @@
 }
 
 const EVENT_COUNT = 6;
+/** Time from the head of a response to the crash of the worker that writes it. */
+const CRASH_DELAY_MS = 20;
 const EVENTS_BEFORE_TRUNCATION = 2;
 
 /**
@@ -76,11 +84,22 @@
     behaviour: 'serve' as WorkerBehaviour,
     receivedRequests: [] as ReceivedRequest[],
     eventIntervalMs: 5,
+    crashingPart: undefined as string | undefined,
+    restartMs: 500,
+    onRestarted: undefined as (() => void) | undefined,
     rateLimit: undefined as string | undefined,
     onReceived: undefined as (() => void) | undefined,
     stopListening: () => {
       server.close();
     },
+    crashAndRestart: () => {
+      if (!server.listening) return;
+      server.close();
+      server.closeAllConnections();
+      setTimeout(() => {
+        server.listen(port, '127.0.0.1', () => state.onRestarted?.());
+      }, state.restartMs).unref();
+    },
   };
   const server: Server = createServer((request, response) => {
     void serve(state, request, response);
@@ -99,6 +118,17 @@
   });
 }
 
+/**
+ * Lists the parts of the prompt of a request.
+ *
+ * @param request - Request as the worker received it
+ * @returns Ids of all parts, in order
+ */
+export function listPromptParts({ headers }: Pick<ReceivedRequest, 'headers'>): string[] {
+  const value = String(headers['prefix-hash'] ?? '');
+  return value.split(',').map((part) => part.split(':')[0] ?? '');
+}
+
 type RespondToRequest = (response: ServerResponse, requestId: string, from: number) => unknown;
 
 async function serve(
@@ -111,7 +141,8 @@
     | 'rateLimit'
     | 'onReceived'
     | 'stopListening'
-  >,
+    | 'crashingPart'
+  > & { crashAndRestart(): void },
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
@@ -145,6 +176,15 @@
       await new Promise((resolve) => setTimeout(resolve, state.eventIntervalMs));
     }
   };
+  const parts = listPromptParts(received);
+  if (state.crashingPart !== undefined && parts.includes(state.crashingPart)) {
+    response.writeHead(200, { 'Content-Type': 'text/event-stream', ...signedHeaders });
+    response.flushHeaders();
+    setTimeout(() => {
+      state.crashAndRestart();
+    }, CRASH_DELAY_MS);
+    return;
+  }
   const behaviours: Readonly<Record<WorkerBehaviour, RespondToRequest>> = {
     serve: async (_response, _id, from) => {
       if (isStream) {
