refactor: order and names in crashGuard.ts and crashRecords.ts

Reading as a newcomer: a private method stood between public ones, the type of a stored crash had no name, and two comments said something else than the code. No change of behaviour; crashGuard.spec.ts passes.

--- a/src/request/containment/crashGuard.ts
+++ b/src/request/containment/crashGuard.ts
@@ -1,5 +1,6 @@
 import type { Fingerprint, PromptPartId } from '../../ids.js';
 import { hashPair } from '../routing/rendezvousOrder.js';
+import type { StoredRecord } from './crashRecords.js';
 import { CrashRecords } from './crashRecords.js';
 import type { KeyEvidence, Requirement } from './explainCrashes.js';
 import { explainCrashes } from './explainCrashes.js';
@@ -23,7 +24,7 @@
 const BLOCK_MS_BY_CRASHES: readonly number[] = [0, 0, 20_000, 60_000, 300_000];
 const MIN_LONG_BLOCK_MS = 600_000;
 const MAX_LONG_BLOCK_MS = 3_600_000;
-/** Time in which the trial of a key shows its outcome; other gateways wait that long in turn. */
+/** Time in which the trial of a key shows its outcome; the next gateway waits for it. */
 const TRIAL_MS = 10_000;
 
 /** Order in which keys are considered: a part that nobody has answered explains more than one request. */
@@ -170,14 +171,6 @@
     return sinceMs < Math.min(this.computeTurn(part) * CAREFUL_STEP_MS, MAX_CAREFUL_MS);
   }
 
-  private findCarefulPart(parts: readonly PromptPartId[], now: number): PromptPartId | undefined {
-    for (const part of parts) {
-      if (this.records.count(part) < CAREFUL_CRASHES) continue;
-      if (!this.history.isTrusted(part, now) && !this.history.isCommon(part)) return part;
-    }
-    return undefined;
-  }
-
   /**
    * Lists the crashes, for a gateway that has started or was cut off.
    *
@@ -201,6 +194,14 @@
     }));
   }
 
+  private findCarefulPart(parts: readonly PromptPartId[], now: number): PromptPartId | undefined {
+    for (const part of parts) {
+      if (this.records.count(part) < CAREFUL_CRASHES) continue;
+      if (!this.history.isTrusted(part, now) && !this.history.isCommon(part)) return part;
+    }
+    return undefined;
+  }
+
   private isBlocked(key: CrashKey, suspicion: Suspicion, now: number): boolean {
     if (now < this.computeRetryAt(key, suspicion)) return true;
     return now - (this.trials.get(key) ?? -Infinity) < TRIAL_MS;
@@ -222,7 +223,7 @@
   }
 
   private update(now: number): void {
-    const evidence: KeyEvidence<ReturnType<CrashRecords['list']>[number]> = {
+    const evidence: KeyEvidence<StoredRecord> = {
       getRequirement: (key, first) => this.getRequirement(key, first, now),
       countSends: (key) => this.history.countSends(key as PromptPartId),
     };
@@ -230,11 +231,7 @@
     for (const key of this.trials.keys()) if (!this.causes.has(key)) this.trials.delete(key);
   }
 
-  private getRequirement(
-    key: CrashKey,
-    first: ReturnType<CrashRecords['list']>[number],
-    now: number,
-  ): Requirement {
+  private getRequirement(key: CrashKey, first: StoredRecord, now: number): Requirement {
     if (first.requests.has(key as Fingerprint)) return requirements.request;
     const part = key as PromptPartId;
     if (!this.history.isTrusted(part, now) && !this.history.isCommon(part)) {
--- a/src/request/containment/crashRecords.ts
+++ b/src/request/containment/crashRecords.ts
@@ -2,20 +2,21 @@
 import type { CrashKey, CrashRecord } from './types.js';
 
 const MAX_RECORDS = 256;
-/** An upstream with `slots` requests of 32 parts each has no more keys. */
+/** More than the requests of one upstream have in all; bounds what a faulty gateway can report. */
 const MAX_KEYS_PER_RECORD = 512;
 const RECORD_TTL_MS = 3_600_000;
 /** Reports of one crash by several gateways arrive within this time; a restart takes longer. */
 const SAME_CRASH_MS = 1_500;
 
-interface StoredRecord extends CrashRecord {
+/** A crash with the keys that have not been cleared since. */
+export interface StoredRecord extends CrashRecord {
   readonly requests: Set<Fingerprint>;
   readonly parts: Set<PromptPartId>;
   /** Responses of this gateway before the crash. */
   readonly successesBefore: number;
 }
 
-/** Crashes of upstreams that are not explained by other causes, from all gateways, oldest first. */
+/** Crashes of upstreams, as all gateways have reported them, oldest first. */
 export class CrashRecords {
   private records: StoredRecord[] = [];
   private readonly counts = new Map<CrashKey, number>();
