perf: decisions without pauses do not name each upstream; one log line for invalid statements

Each decision formatted the start of every upstream to look for a pause, also while none is known; with 2,800 upstreams that is the price of each request. An upstream that states nonsense in each response wrote a line each time; now one for each start, counted always. Read in the code while reviewing, not measured. Specs of admission and statements pass.

--- a/src/request/admission/upstreamBalancer.ts
+++ b/src/request/admission/upstreamBalancer.ts
@@ -3,7 +3,6 @@
 import type { SendLimiter } from '../rateLimit/types.js';
 import { GroupHealth } from './groupHealth.js';
 import { PeerCounts } from './peerCounts.js';
-import { toIncarnation } from '../rateLimit/types.js';
 import { UpstreamPauses } from './upstreamPauses.js';
 import { PaceEstimator } from './paceEstimator.js';
 import type { Reservation, ReservationRequest } from './types.js';
@@ -176,7 +175,7 @@
    * @param now - Current time in milliseconds
    */
   pauseUpstream(upstream: UpstreamEntry, until: number, now: number): void {
-    this.pauses.pause(toIncarnation(upstream), until, now);
+    this.pauses.pause(upstream, until, now);
   }
 
   /**
@@ -187,7 +186,7 @@
    * @returns True until its pause ends
    */
   isPaused(upstream: UpstreamEntry, now: number): boolean {
-    return this.pauses.computeRemaining(toIncarnation(upstream), now) > 0;
+    return this.pauses.computeRemaining(upstream, now) > 0;
   }
 
   /**
@@ -201,7 +200,7 @@
     let shortest = Infinity;
     for (const upstream of this.sources.listReady(request.service)) {
       if (request.excluded.has(upstream.id)) continue;
-      shortest = Math.min(shortest, this.pauses.computeRemaining(toIncarnation(upstream), now));
+      shortest = Math.min(shortest, this.pauses.computeRemaining(upstream, now));
       if (shortest === 0) return 0;
     }
     return Number.isFinite(shortest) ? shortest : 0;
@@ -328,7 +327,7 @@
       if (request.excluded.has(upstream.id)) continue;
       const load = this.getLoad(upstream.id);
       if (load.backoffUntil > now || !this.health.isAvailable(upstream.id, now)) continue;
-      if (this.pauses.computeRemaining(toIncarnation(upstream), now) > 0) continue;
+      if (this.pauses.computeRemaining(upstream, now) > 0) continue;
       const running = load.localInFlight + this.peerCounts.getSum(upstream.id, now);
       const limit =
         engine === undefined
--- a/src/request/admission/upstreamStatements.ts
+++ b/src/request/admission/upstreamStatements.ts
@@ -1,4 +1,4 @@
-import type { UpstreamId } from '../../ids.js';
+import type { UpstreamId, UpstreamIncarnation } from '../../ids.js';
 import { toId } from '../../ids.js';
 import type { ResponseHead } from '../../process/gateway/types.js';
 import type { UpstreamStart } from '../../process/gateway/leavingUpstreams.js';
@@ -7,8 +7,12 @@
 import type { Metrics } from '../../process/metrics.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
 import type { UpstreamEntry } from '../../version/routing/types.js';
+import { toIncarnation } from '../rateLimit/types.js';
 import type { UpstreamBalancer } from './upstreamBalancer.js';
 
+/** Bounds the memory of what has been logged. */
+const MAX_LOGGED_UPSTREAMS = 1_000;
+
 export interface UpstreamStatementsOptions {
   readonly directory: Pick<UpstreamDirectory, 'markLeaving' | 'listLeaving'>;
   readonly balancer: Pick<UpstreamBalancer, 'pauseUpstream'>;
@@ -30,6 +34,9 @@
 
 /** Applies what upstreams state in their responses about new requests: that they leave, or want none for a while. */
 export class UpstreamStatements {
+  /** Upstreams whose invalid statement has been logged. */
+  private readonly invalidUpstreams = new Set<UpstreamIncarnation>();
+
   constructor(private readonly options: UpstreamStatementsOptions) {}
 
   /**
@@ -48,12 +55,7 @@
     }
     if (leaving === 'stated') this.recordLeaving(upstream);
     if (leaving === 'invalid' || retryAfter.kind === 'invalid') {
-      this.options.metrics.addCount('upstream_statements_invalid');
-      const value = retryAfter.kind === 'invalid' ? retryAfter.text : '';
-      this.options.logger.warn(
-        { upstream: upstream.id, value },
-        'ignored an invalid statement of an upstream',
-      );
+      this.logInvalid(upstream, retryAfter.kind === 'invalid' ? retryAfter.text : '');
     }
     if (retryAfter.kind === 'stated') this.recordPause(upstream, retryAfter.delayMs, now);
   }
@@ -92,6 +94,18 @@
     return this.options.directory.listLeaving().map(encodeLeaving);
   }
 
+  private logInvalid(upstream: UpstreamEntry, value: string): void {
+    this.options.metrics.addCount('upstream_statements_invalid');
+    const incarnation = toIncarnation(upstream);
+    if (this.invalidUpstreams.has(incarnation)) return;
+    if (this.invalidUpstreams.size >= MAX_LOGGED_UPSTREAMS) this.invalidUpstreams.clear();
+    this.invalidUpstreams.add(incarnation);
+    this.options.logger.warn(
+      { upstream: upstream.id, value },
+      'ignored an invalid statement of an upstream',
+    );
+  }
+
   private recordPause(upstream: UpstreamEntry, statedMs: number, now: number): void {
     const pauseMs = Math.min(statedMs, this.options.maxPauseMs);
     this.options.balancer.pauseUpstream(upstream, now + pauseMs, now);
