feat: cold upstreams get no more than the rate that their service states

Change: coldLimits.ts knows what is cold and until when; the permits of rate limits keep all gateways together within it, cut off ones too; gateways that read the store tell the others. Ruled out: a share without permits (sum over 1.5 of the limit with five partitions), times in the relayed list (a change with each read). Before: a schedule of 13 gateways without the limit exceeds it.

--- a/src/defaults.ts
+++ b/src/defaults.ts
@@ -14,6 +14,8 @@
 
   /** Longest pause that an upstream may ask for with a refusal; a longer one is cut to it. */
   maxUpstreamPauseMs: 300_000,
+  /** Longest time for which an upstream counts as cold after one statement. */
+  maxColdMs: 120_000,
 
   maxBodyBytes: 1024 * 1024,
   maxHeaderBytes: 16 * 1024,
--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -25,6 +25,7 @@
 import { ConfigurationCache } from './configurationCache.js';
 import { GatewayPeers } from './gatewayPeers.js';
 import {
+  createColdTopic,
   createCrashTopic,
   createRateLimitTopic,
   createStatementTopic,
@@ -103,9 +104,13 @@
     this.rateLimits = new GatewayRateLimits({
       self: settings.processId,
       directory: this.directory,
+      getService: (service) => this.configurationCache.current?.configuration.services.get(service),
       logger,
       metrics: this.metrics,
       readClock: () => this.readClock(),
+      broadcastCold: (message) => {
+        this.peers.broadcast(message, peerFeatures.cold);
+      },
       countGateways: (now) => this.peers.countRunning(now),
       send: (gateway, message) => {
         this.peers.send(gateway, message);
@@ -198,6 +203,7 @@
       balancer: this.balancer,
       topics: [
         createRateLimitTopic(this.rateLimits.limiter, readClock, scheduleDispatch),
+        createColdTopic(this.rateLimits.cold, readClock),
         createCrashTopic(this.crashes, readClock),
         createStatementTopic(this.statements),
       ],
@@ -352,6 +358,7 @@
       upstreams: this.directory.listAll(),
       loads: this.balancer.describe(now),
       rateLimits: this.rateLimits.limiter.describe(now),
+      cold: this.rateLimits.cold.describe(now),
       refused: this.crashes.describe(now),
       waiting: Object.fromEntries([...this.queues].map(([id, queue]) => [id, queue.length])),
     };
--- a/src/process/gateway/listingHistory.ts
+++ b/src/process/gateway/listingHistory.ts
@@ -19,7 +19,7 @@
   readonly removed: readonly UpstreamId[];
 }
 
-/** Recent listings of this process, so that peers get only what has changed. Heartbeats alone are no change. */
+/** Recent listings of this process, so that peers get only what has changed. Heartbeats and cold times alone are no change. */
 export class ListingHistory {
   private listings: Listing[] = [];
   private recorded: readonly UpstreamEntry[] | undefined;
@@ -57,7 +57,7 @@
 }
 
 function describeEntry(entry: UpstreamEntry): string {
-  return JSON.stringify({ ...entry, heartbeat: undefined });
+  return JSON.stringify({ ...entry, heartbeat: undefined, coldRemainingMs: undefined });
 }
 
 function isSame(
--- a/src/process/gateway/peerSnapshots.ts
+++ b/src/process/gateway/peerSnapshots.ts
@@ -202,9 +202,15 @@
   }
 }
 
-function encodeUpstream({ startedAt, heartbeat, ...entry }: UpstreamEntry): WireUpstream {
+function encodeUpstream({ startedAt, heartbeat, ...rest }: UpstreamEntry): WireUpstream {
+  const { id, service, address, availabilityZone, slots, isDraining } = rest;
   return {
-    ...entry,
+    id,
+    service,
+    address,
+    availabilityZone,
+    slots,
+    isDraining,
     ...(startedAt === undefined ? {} : { startedAt }),
     ...(heartbeat === undefined ? {} : { heartbeat }),
   };
--- a/src/process/gateway/peerTopics.ts
+++ b/src/process/gateway/peerTopics.ts
@@ -2,6 +2,7 @@
 import type { Message } from '../../protocol/messages.js';
 import type { UpstreamStatements } from '../../request/admission/upstreamStatements.js';
 import type { CrashContainment } from '../../request/containment/crashContainment.js';
+import type { ColdLimits } from '../../request/rateLimit/coldLimits.js';
 import type { LeaveReason } from '../../request/rateLimit/issuerChoice.js';
 import type { RateLimiter } from '../../request/rateLimit/rateLimiter.js';
 
@@ -10,6 +11,7 @@
   rateLimits: 'rateLimits',
   crashes: 'crashReports',
   statements: 'upstreamStatements',
+  cold: 'coldUpstreams',
 } as const;
 
 /** One kind of state that gateways exchange. */
@@ -117,3 +119,25 @@
     },
   };
 }
+
+/**
+ * Exchanges which upstreams are cold, all of them with a new link.
+ *
+ * @param cold - Owner of the state
+ * @param readClock - Current time in milliseconds
+ * @returns The topic
+ */
+export function createColdTopic(
+  cold: Pick<ColdLimits, 'receive' | 'createMessages'>,
+  readClock: () => number,
+): PeerTopic {
+  return {
+    feature: peerFeatures.cold,
+    handlers: {
+      coldUpstreams: (message, link) => {
+        cold.receive(message, link.peer.processId, readClock());
+      },
+    },
+    createGreeting: (now) => cold.createMessages(now),
+  };
+}
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -309,6 +309,14 @@
   ),
 });
 
+/** Gateway to gateway: upstreams that are cold, as their entries in the store state. */
+const coldUpstreams = z.object({
+  type: z.literal('coldUpstreams'),
+  upstreams: z.array(
+    z.object({ upstream: id, service: id, remainingMs: z.number().nonnegative() }),
+  ),
+});
+
 const layerExperts = z.array(z.array(count));
 
 /** Ranker to coordinator: report of the rank, sent when it has changed and otherwise as a heartbeat. */
@@ -396,6 +404,7 @@
   permits,
   crashNotice,
   upstreamLeaving,
+  coldUpstreams,
   crashReport,
   crashCleared,
   knowledgeAsk,
--- a/src/request/rateLimit/rateLimiter.ts
+++ b/src/request/rateLimit/rateLimiter.ts
@@ -2,6 +2,7 @@
 import { toId } from '../../ids.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
 import type { UpstreamEntry } from '../../version/routing/types.js';
+import type { ColdLimits } from './coldLimits.js';
 import type { LeaveReason } from './issuerChoice.js';
 import { IssuerChoice } from './issuerChoice.js';
 import type { PermitAssignment } from './permitIssuer.js';
@@ -38,6 +39,8 @@
   /** Process id of this gateway. */
   readonly self: string;
   readonly records: RateLimitRecords;
+  /** Limits that apply while an upstream is cold; without them, only stated limits apply. */
+  readonly coldLimits?: Pick<ColdLimits, 'find' | 'list'>;
   readonly observer: Pick<RateLimitObserver, 'observe'>;
   /** Number of gateways that are known to run, linked or not, including this one. */
   readonly countGateways: () => number;
@@ -69,8 +72,13 @@
     });
   }
 
+  /** False while no upstream has a limit, which spares the look-up for each request. */
+  get hasLimits(): boolean {
+    return this.options.records.hasLimits || (this.options.coldLimits?.list().size ?? 0) > 0;
+  }
+
   checkPermit(upstream: UpstreamEntry, now: number): PermitState {
-    if (!this.options.records.hasLimits) return 'unlimited';
+    if (!this.hasLimits) return 'unlimited';
     const incarnation = toIncarnation(upstream);
     if (this.findLimit(incarnation) === undefined) return 'unlimited';
     return this.pool.has(incarnation, now) ? 'held' : 'missing';
@@ -228,16 +236,17 @@
   }
 
   private findLimit(upstream: UpstreamIncarnation): number | undefined {
-    const perSecond = this.options.records.find(upstream)?.perSecond;
-    return perSecond === undefined ? undefined : Math.max(perSecond, MIN_LIMIT_PER_SECOND);
+    const stated = this.options.records.find(upstream)?.perSecond ?? Infinity;
+    const perSecond = Math.min(stated, this.options.coldLimits?.find(upstream) ?? Infinity);
+    return perSecond === Infinity ? undefined : Math.max(perSecond, MIN_LIMIT_PER_SECOND);
   }
 
   private listLimited(): UpstreamIncarnation[] {
-    const limited: UpstreamIncarnation[] = [];
+    const limited = new Set<UpstreamIncarnation>(this.options.coldLimits?.list().keys());
     for (const [upstream, { perSecond }] of this.options.records.list()) {
-      if (perSecond !== undefined) limited.push(upstream);
+      if (perSecond !== undefined) limited.add(upstream);
     }
-    return limited;
+    return [...limited];
   }
 
   private sendDemands(limited: readonly UpstreamIncarnation[], now: number): void {
--- a/src/version/routing/types.ts
+++ b/src/version/routing/types.ts
@@ -67,6 +67,10 @@
   readonly id: ServiceId;
   /** Maximum number of connections that one upstream accepts from all clients in total. */
   readonly maxConnections: number;
+  /** Time after its start for which an upstream is cold; 0 or undefined if upstreams are never cold. */
+  readonly coldStartMs?: number | undefined;
+  /** Requests per second that a cold upstream takes from all gateways together; 0 or undefined for no limit. */
+  readonly coldRequestsPerSecond?: number | undefined;
   readonly engine?: EngineModel | undefined;
 }
 
@@ -106,4 +110,6 @@
   readonly startedAt?: number | undefined;
   /** Number of registrations since the start; rises each time that the upstream writes its entry. */
   readonly heartbeat?: number | undefined;
+  /** Time for which the upstream stays cold, from when it wrote the entry, in milliseconds; undefined for a warm one. */
+  readonly coldRemainingMs?: number | undefined;
 }
