feat: availability zones taken out of service get no new work

Cause: the operator's keys op/evacuate/ZONE were read by nobody, so evacuated zones were sent requests like any other. Ruled out: a second read of the store beside that of the configuration, which would double the priced calls. Change: the read of the configuration is one of the range that also holds the keys; each gateway keeps the zones with the age and era of the read, relays them to its peers, and leaves the upstreams there out of every choice. An unreadable configuration no longer hides the zones of its read. Logs, counters and the dump show them. Tests changed: the fakes of the source return the two new fields, and the expected unchanged read lists them.

--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -41,6 +41,7 @@
 import { SuspendClock } from './suspendClock.js';
 import type { ConfigurationSource, HeaderCodec, UpstreamProbe } from './types.js';
 import { UpstreamDirectory } from './upstreamDirectory.js';
+import { ZoneEvacuations } from './zoneEvacuations.js';
 
 /** Permits are issued and queued requests dispatched at this interval; the latter also when a slot becomes free. */
 const DISPATCH_INTERVAL_MS = 25;
@@ -68,6 +69,7 @@
   private readonly stopController = new AbortController();
   private readonly configurationCache: ConfigurationCache;
   private readonly directory = new UpstreamDirectory();
+  private readonly evacuations: ZoneEvacuations;
   private readonly storeEra = new StoreEra();
   private readonly balancer: UpstreamBalancer;
   private readonly rateLimits: GatewayRateLimits;
@@ -100,6 +102,11 @@
     this.configurationCache = new ConfigurationCache(
       settings.keyRevocationLimitMs - KEY_VALIDITY_MARGIN_MS,
     );
+    this.evacuations = new ZoneEvacuations({
+      directory: this.directory,
+      logger,
+      metrics: this.metrics,
+    });
     this.rateLimits = new GatewayRateLimits({
       self: settings.processId,
       directory: this.directory,
@@ -170,6 +177,10 @@
       storeEra: this.storeEra,
       readClock: () => this.readClock(),
       readMonotonicClock: () => performance.now(),
+      evacuations: this.evacuations,
+      onEvacuation: () => {
+        this.dispatchAll();
+      },
       onConfiguration: () => {
         this.applyLimits();
       },
@@ -219,6 +230,7 @@
       self: settings.processId,
       configurationCache: this.configurationCache,
       directory: this.directory,
+      evacuations: this.evacuations,
       storeEra: this.storeEra,
       readClock: () => this.readClock(),
       readMonotonicClock: () => performance.now(),
@@ -255,6 +267,7 @@
       ...dependencies,
       configurationCache: this.configurationCache,
       directory: this.directory,
+      evacuations: this.evacuations,
       storeEra: this.storeEra,
       metrics: this.metrics,
       signal: this.stopController.signal,
@@ -348,6 +361,7 @@
       proofAgeMs: this.configurationCache.computeAge(now),
       storeEra: this.storeEra.current,
       isStoreComplete: this.storeEra.isComplete(performance.now()),
+      evacuations: this.evacuations.describe(now),
       gateways: this.peers.size,
       upstreams: this.directory.listAll(),
       loads: this.balancer.describe(now),
--- a/src/process/gateway/peerSnapshots.spec.ts
+++ b/src/process/gateway/peerSnapshots.spec.ts
@@ -5,6 +5,7 @@
 import { PeerSnapshots } from './peerSnapshots.js';
 import { StoreEra } from './storeEra.js';
 import { UpstreamDirectory } from './upstreamDirectory.js';
+import { ZoneEvacuations } from './zoneEvacuations.js';
 
 const RESTORED_AT_MS = 1_000;
 const QUERIED_AT_MS = 1_100;
@@ -12,16 +13,20 @@
 /** Creates the exchange of one gateway at the time of a query. */
 function createSnapshots(storeEra: StoreEra, now = QUERIED_AT_MS): PeerSnapshots {
   const discard = (): void => undefined;
+  const logger = { debug: discard, info: discard, warn: discard, error: discard };
+  const directory = new UpstreamDirectory();
   return new PeerSnapshots({
     incarnation: 'r-1',
     metrics: new Metrics(),
     configurationCache: new ConfigurationCache(1_000),
-    directory: new UpstreamDirectory(),
+    directory,
+    evacuations: new ZoneEvacuations({ directory, logger, metrics: new Metrics() }),
     storeEra,
     source: { decodeDocument: () => Err({ code: 'malformed', message: '' }) },
-    logger: { debug: discard, info: discard, warn: discard, error: discard },
+    logger,
     readClock: () => now,
     readMonotonicClock: () => now,
+    onEvacuation: discard,
     onConfiguration: discard,
     onUpstreamStarted: discard,
   });
--- a/src/process/gateway/peerSnapshots.ts
+++ b/src/process/gateway/peerSnapshots.ts
@@ -9,6 +9,7 @@
 import type { ConfigurationSource } from './types.js';
 import type { UpstreamEntry } from '../../version/routing/types.js';
 import type { RemovedUpstream, UpstreamDirectory } from './upstreamDirectory.js';
+import type { ZoneEvacuations } from './zoneEvacuations.js';
 
 /** Removals sent with a listing; more than can leave between two listings. */
 const MAX_REMOVALS = 64;
@@ -28,6 +29,7 @@
   readonly incarnation: string;
   readonly configurationCache: ConfigurationCache;
   readonly directory: UpstreamDirectory;
+  readonly evacuations: ZoneEvacuations;
   readonly storeEra: StoreEra;
   readonly source: Pick<ConfigurationSource, 'decodeDocument'>;
   readonly logger: Logger;
@@ -35,6 +37,8 @@
   /** Suspend-aware clock, in milliseconds. */
   readonly readClock: () => number;
   readonly readMonotonicClock: () => number;
+  /** Called when other availability zones are evacuated than before. */
+  readonly onEvacuation: () => void;
   /** Called when the configuration of a peer has come into force. */
   readonly onConfiguration: () => void;
   /** Called for each upstream that was added or has restarted. */
@@ -75,6 +79,7 @@
     const monotonicNow = this.options.readMonotonicClock();
     const proofAgeMs = configurationCache.computeAge(now);
     const listingAgeMs = directory.computeAge(now);
+    const evacuations = this.options.evacuations.describe(now);
     const { current } = configurationCache;
     const { current: era } = storeEra;
     return {
@@ -82,6 +87,7 @@
         ? { era, isEraComplete: storeEra.isComplete(monotonicNow) }
         : {}),
       version: configurationCache.version,
+      ...(evacuations === undefined ? {} : { evacuations }),
       ...(Number.isFinite(proofAgeMs) ? { proofAgeMs } : {}),
       ...(current !== undefined && configurationCache.version > version
         ? { document: current.document }
@@ -106,6 +112,11 @@
     const monotonicNow = this.options.readMonotonicClock();
     const isCurrent = storeEra.observePeer(era, isEraComplete === true, monotonicNow);
     const validatedAt = isCurrent && proofAgeMs !== undefined ? queriedAt - proofAgeMs : -Infinity;
+    const isComplete =
+      isCurrent &&
+      isEraComplete === true &&
+      storeEra.isComplete(monotonicNow, version < configurationCache.version);
+    this.applyEvacuations(snapshot, queriedAt, isComplete);
     configurationCache.revalidate(version, validatedAt);
     if (document !== undefined && version > configurationCache.version)
       this.applyDocument(snapshot, document, validatedAt);
@@ -113,6 +124,22 @@
       this.applyListing(snapshot, queriedAt - snapshot.listingAgeMs, sender);
   }
 
+  private applyEvacuations(
+    { evacuations: received }: StateSnapshot,
+    queriedAt: number,
+    isComplete: boolean,
+  ): void {
+    if (received === undefined) return;
+    const { evacuations, readClock, readMonotonicClock, onEvacuation } = this.options;
+    const read = {
+      zones: received.zones.map((zone) => toId<AvailabilityZoneId>(zone)),
+      readStartedAt: queriedAt - received.ageMs,
+      era: received.era,
+      isComplete,
+    };
+    if (evacuations.apply(read, readMonotonicClock(), readClock())) onEvacuation();
+  }
+
   private applyDocument(
     { version, proofAgeMs }: StateSnapshot,
     document: string,
--- a/src/process/gateway/storePolling.spec.ts
+++ b/src/process/gateway/storePolling.spec.ts
@@ -9,6 +9,7 @@
 import { maintainConfiguration } from './storePolling.js';
 import type { ConfigurationPosition } from './types.js';
 import { UpstreamDirectory } from './upstreamDirectory.js';
+import { ZoneEvacuations } from './zoneEvacuations.js';
 
 const createConfiguration = (version: number): RoutingConfiguration => ({
   version,
@@ -37,6 +38,7 @@
         warnings.push([fields, message]);
       },
     };
+    const directory = new UpstreamDirectory();
     let reads = 0;
     let steppedMs = 0;
     await maintainConfiguration({
@@ -45,14 +47,16 @@
           const position = positions[reads] ?? { era: 1, revision: 5 };
           reads += 1;
           if (reads === positions.length) controller.abort();
-          return Promise.resolve(Ok({ ...position, configuration: createConfiguration(4) }));
+          const read = { ...position, evacuated: [], unreadableEvacuations: 0 };
+          return Promise.resolve(Ok({ ...read, configuration: createConfiguration(4) }));
         },
         readUpstreams: () => Promise.resolve(Err({ code: 'refused', message: '' })),
         decodeDocument: () => Err({ code: 'malformed', message: '' }),
         close: discard,
       },
       configurationCache,
-      directory: new UpstreamDirectory(),
+      directory,
+      evacuations: new ZoneEvacuations({ directory, logger, metrics: new Metrics() }),
       storeEra: new StoreEra(),
       logger,
       metrics: new Metrics(),
--- a/src/process/gateway/storePolling.ts
+++ b/src/process/gateway/storePolling.ts
@@ -14,6 +14,7 @@
   ReadError,
 } from './types.js';
 import type { UpstreamDirectory } from './upstreamDirectory.js';
+import type { ZoneEvacuations } from './zoneEvacuations.js';
 
 /** Three reads fit into the 2 s within which a change must be in force, so one of them may fail. */
 const POLL_INTERVAL_MS = 650;
@@ -28,6 +29,7 @@
   readonly source: ConfigurationSource;
   readonly configurationCache: ConfigurationCache;
   readonly directory: UpstreamDirectory;
+  readonly evacuations: ZoneEvacuations;
   readonly storeEra: StoreEra;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -46,7 +48,7 @@
    * @returns False when there are other gateways but none has replied
    */
   readonly queryPeers: (configurationOnly: boolean) => Promise<boolean>;
-  /** Called after a read that changed the configuration or the upstream list. */
+  /** Called after a read that changed the configuration, the evacuated zones or the upstream list. */
   readonly onChange: () => void;
   /** Called after this process has itself read a change from the store. */
   readonly onStoreChange?: () => void;
@@ -54,6 +56,12 @@
   readonly onUpstreamStarted: (upstream: UpstreamId) => void;
 }
 
+/** When a read was sent, in milliseconds of the two clocks. */
+interface ReadTimes {
+  readonly readStartedAt: number;
+  readonly monotonicStartedAt: number;
+}
+
 /** The last configuration that this process has read from the store itself. */
 interface LastRead extends ConfigurationPosition {
   readonly version: number;
@@ -72,6 +80,7 @@
   const { source, configurationCache, logger, metrics, signal, storeEra, timers } = options;
   const dependency = new DependencyStatusLog('configuration', logger, metrics);
   let last: LastRead | undefined;
+  const evacuationLog = new UnreadableLog('evacuated zones', logger);
   while (!signal.aborted) {
     const wasServed = options.relay?.isServed === true;
     if ((await options.relay?.refresh()) === true) {
@@ -82,20 +91,21 @@
     const readStartedAt = options.readClock();
     const monotonicStartedAt = options.readMonotonicClock();
     const answer = await source.readConfiguration(last);
+    const times = { readStartedAt, monotonicStartedAt };
     const read = checkEra(answer, options);
-    if (read.isErr()) {
-      dependency.recordFailure(read.error);
+    const error = read.isErr() ? read.error : read.value.configurationError;
+    if (read.isOk()) evacuationLog.record(read.value.unreadableEvacuations);
+    if (error !== undefined) {
+      if (read.isOk()) applyEvacuations(options, read.value, times, false);
+      dependency.recordFailure(error);
       await options.queryPeers(false);
-    } else {
+    } else if (read.isOk()) {
       dependency.recordSuccess();
-      last = await applyConfigurationRead(options, read.value, last, {
-        readStartedAt,
-        monotonicStartedAt,
-      });
+      last = await applyConfigurationRead(options, read.value, last, times);
     }
     const now = options.readMonotonicClock();
     const isFirst = configurationCache.current === undefined || !storeEra.isConfirmed(now);
-    const isRetry = read.isErr() || !storeEra.isComplete(now);
+    const isRetry = error !== undefined || !storeEra.isComplete(now);
     await timers.configuration.wait(isFirst ? STARTUP_POLL_INTERVAL_MS : chooseInterval(isRetry));
   }
 }
@@ -104,7 +114,7 @@
   options: PollingOptions,
   read: ConfigurationRead,
   last: LastRead | undefined,
-  times: { readonly readStartedAt: number; readonly monotonicStartedAt: number },
+  times: ReadTimes,
 ): Promise<LastRead> {
   const { configurationCache, storeEra, logger, metrics } = options;
   const { era, revision, configuration, document } = read;
@@ -118,6 +128,7 @@
   const version = configuration?.version ?? last?.version ?? 0;
   const isBehind = (): boolean => version < configurationCache.version;
   storeEra.recordConfiguration(revision, isBehind(), times.monotonicStartedAt);
+  applyEvacuations(options, read, times, isBehind());
   if (!storeEra.isComplete(times.monotonicStartedAt, isBehind())) {
     if (await options.queryPeers(true)) storeEra.confirm();
   }
@@ -134,6 +145,20 @@
   return { era, revision, version };
 }
 
+function applyEvacuations(
+  options: PollingOptions,
+  { era, evacuated }: ConfigurationRead,
+  times: ReadTimes,
+  isBehind: boolean,
+): void {
+  const { evacuations, storeEra, readClock, readMonotonicClock } = options;
+  const isComplete = storeEra.isComplete(times.monotonicStartedAt, isBehind);
+  const read = { zones: evacuated, readStartedAt: times.readStartedAt, era, isComplete };
+  if (!evacuations.apply(read, readMonotonicClock(), readClock())) return;
+  options.onChange();
+  options.onStoreChange?.();
+}
+
 /**
  * Polls the store for the upstream list until the signal is aborted.
  *
@@ -143,7 +168,7 @@
   const { source, directory, logger, metrics, signal, timers } = options;
   const { readClock, readMonotonicClock } = options;
   const dependency = new DependencyStatusLog('upstream list', logger, metrics);
-  let unreadable = 0;
+  const entryLog = new UnreadableLog('entries in the upstream list', logger);
   while (!signal.aborted) {
     if (options.relay?.isServed === true) {
       await timers.upstreams.wait(POLL_INTERVAL_MS);
@@ -161,10 +186,7 @@
         if (change === 'added' || change === 'restarted') options.onUpstreamStarted(upstream);
         if (change !== 'held') logger.info({ upstream, change }, 'upstream list changed');
       }
-      if (read.value.unreadable !== unreadable) {
-        unreadable = read.value.unreadable;
-        logger.warn({ unreadable }, 'number of unreadable entries in the upstream list changed');
-      }
+      entryLog.record(read.value.unreadable);
       if (changes.length > 0) options.onChange();
       if (changes.some(({ change }) => change !== 'held')) options.onStoreChange?.();
     }
@@ -198,6 +220,22 @@
   }
 }
 
+/** Logs changes of the number of entries that cannot be decoded. */
+class UnreadableLog {
+  private unreadable = 0;
+
+  constructor(
+    private readonly name: string,
+    private readonly logger: Logger,
+  ) {}
+
+  record(unreadable: number): void {
+    if (unreadable === this.unreadable) return;
+    this.unreadable = unreadable;
+    this.logger.warn({ unreadable }, `number of unreadable ${this.name} changed`);
+  }
+}
+
 /** Refuses an answer that was sent before the store was restored but arrived after an answer of the new era. */
 function checkEra<Read extends { readonly era: number }>(
   read: Result<Read, ReadError>,
--- a/src/process/gateway/storeRelay.spec.ts
+++ b/src/process/gateway/storeRelay.spec.ts
@@ -37,6 +37,7 @@
         current: hasState ? ({} as never) : undefined,
         computeAge: () => ageMs,
       },
+      evacuations: { computeAge: () => ageMs },
       directory: { computeAge: () => ageMs, listAll: () => [{} as never] },
       storeEra: { isConfirmed: () => true },
       readClock: () => now,
--- a/src/process/gateway/storeRelay.ts
+++ b/src/process/gateway/storeRelay.ts
@@ -3,6 +3,7 @@
 import type { StoreEra } from './storeEra.js';
 import { listReadersToAsk } from './storeReaders.js';
 import type { UpstreamDirectory } from './upstreamDirectory.js';
+import type { ZoneEvacuations } from './zoneEvacuations.js';
 
 /** Older state of a reader is not relied on: the reader has missed a read, as it reads every 0.65 s. */
 const MAX_RELAYED_AGE_MS = 1_000;
@@ -11,6 +12,7 @@
   readonly self: string;
   readonly configurationCache: Pick<ConfigurationCache, 'current' | 'computeAge'>;
   readonly directory: Pick<UpstreamDirectory, 'computeAge' | 'listAll'>;
+  readonly evacuations: Pick<ZoneEvacuations, 'computeAge'>;
   readonly storeEra: Pick<StoreEra, 'isConfirmed'>;
   readonly metrics: Pick<Metrics, 'addCount'>;
   readonly readClock: () => number;
@@ -22,7 +24,7 @@
 }
 
 /**
- * Keeps configuration and upstream list current through the gateways that read the store, so that the number of reads does
+ * Keeps configuration, evacuated zones and upstream list current through the gateways that read the store, so that the number of reads does
  * not grow with the number of gateways. A gateway that gets nothing recent from them reads the store itself.
  */
 export class StoreRelay {
@@ -59,9 +61,9 @@
   }
 
   private isRecent(): boolean {
-    const { configurationCache, directory, readClock } = this.options;
+    const { configurationCache, directory, evacuations, readClock } = this.options;
     const now = readClock();
-    const ageMs = Math.max(configurationCache.computeAge(now), directory.computeAge(now));
-    return ageMs <= MAX_RELAYED_AGE_MS;
+    const ages = [configurationCache, directory, evacuations].map((state) => state.computeAge(now));
+    return Math.max(...ages) <= MAX_RELAYED_AGE_MS;
   }
 }
--- a/src/process/gateway/types.ts
+++ b/src/process/gateway/types.ts
@@ -1,5 +1,5 @@
 import type { Result } from 'ts-results-es';
-import type { PromptPartId, UpstreamId, WorkspaceId } from '../../ids.js';
+import type { AvailabilityZoneId, PromptPartId, UpstreamId, WorkspaceId } from '../../ids.js';
 import type { RateLimitStatement } from '../../request/rateLimit/types.js';
 import type { RoutingConfiguration, UpstreamEntry } from '../../version/routing/types.js';
 
@@ -30,7 +30,13 @@
 }
 
 export interface ConfigurationRead extends ConfigurationPosition {
-  /** Undefined when era and revision equal those of `known`. */
+  /** Availability zones that the operator has taken out of service. */
+  readonly evacuated: readonly AvailabilityZoneId[];
+  /** Number of entries that name no usable availability zone. */
+  readonly unreadableEvacuations: number;
+  /** Why the stored configuration cannot be used; the evacuated zones count all the same. */
+  readonly configurationError?: ReadError | undefined;
+  /** Undefined when era and revision equal those of `known`, or when it cannot be used. */
   readonly configuration?: RoutingConfiguration | undefined;
   /** Configuration text as published, to relay to peers that cannot reach the store. */
   readonly document?: string | undefined;
--- a/src/process/gateway/upstreamDirectory.ts
+++ b/src/process/gateway/upstreamDirectory.ts
@@ -1,4 +1,4 @@
-import type { ServiceId, UpstreamId } from '../../ids.js';
+import type { AvailabilityZoneId, ServiceId, UpstreamId } from '../../ids.js';
 import type { UpstreamEntry } from '../../version/routing/types.js';
 import type { UpstreamStart } from './leavingUpstreams.js';
 import { LeavingUpstreams } from './leavingUpstreams.js';
@@ -48,6 +48,7 @@
   /** Entries at whose address another upstream has responded. */
   private readonly replaced = new Map<UpstreamId, UpstreamEntry>();
   private readonly leaving = new LeavingUpstreams();
+  private excludedZones: ReadonlySet<AvailabilityZoneId> = new Set();
   private readonly byService = new Map<ServiceId, UpstreamEntry[]>();
   private lastReadAt: number | undefined;
   private retainUntil = -Infinity;
@@ -60,7 +61,7 @@
    * Lists the upstreams of a service that may get new work.
    *
    * @param service - Service id
-   * @returns Upstreams that are neither draining nor replaced
+   * @returns Upstreams that are neither draining nor replaced, outside the excluded availability zones
    */
   listReady(service: ServiceId): readonly UpstreamEntry[] {
     return this.byService.get(service) ?? [];
@@ -211,6 +212,16 @@
     return this.leaving.list();
   }
 
+  /**
+   * Excludes the upstreams of availability zones from new work, in place of those excluded before.
+   *
+   * @param zones - Availability zones
+   */
+  excludeZones(zones: ReadonlySet<AvailabilityZoneId>): void {
+    this.excludedZones = zones;
+    this.indexByService();
+  }
+
   private mergeEntry(entry: UpstreamEntry, changes: DirectoryChange[]): UpstreamEntry {
     const previous = this.entries.get(entry.id);
     if (previous === undefined) {
@@ -269,6 +280,7 @@
     for (const entry of usable) {
       if (
         entry.isDraining ||
+        this.excludedZones.has(entry.availabilityZone) ||
         this.leaving.has(entry) ||
         (entry.startedAt ?? 0) < (newestStartByAddress.get(entry.address) ?? 0)
       )
--- a/src/process/ranker/rankerDaemon.spec.ts
+++ b/src/process/ranker/rankerDaemon.spec.ts
@@ -38,7 +38,9 @@
     const source: ConfigurationSource = {
       readConfiguration: (position) => {
         known.push(position);
-        return Promise.resolve(Ok({ era: 2, revision: 7 }));
+        return Promise.resolve(
+          Ok({ era: 2, revision: 7, evacuated: [], unreadableEvacuations: 0 }),
+        );
       },
       readUpstreams: () => Promise.resolve(Ok({ era: 2, upstreams: [], unreadable: 0 })),
       decodeDocument: () => Err({ code: 'malformed', message: '' }),
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -284,6 +284,10 @@
   era: count.optional(),
   /** What the store lost when that era began has been written again, so reads are complete. */
   isEraComplete: z.boolean().optional(),
+  /** Availability zones taken out of service, with age and era of the read; omitted if the sender knows none. */
+  evacuations: z
+    .object({ zones: z.array(id), ageMs: z.number().nonnegative(), era: count })
+    .optional(),
   /** Era of the store in which the listing was read. */
   listingEra: count.optional(),
   /** Id of the sender's listing, if the query named a listing. */
