--- a/src/request/forwarding/runAttempt.ts
+++ b/src/request/forwarding/runAttempt.ts
@@ -63,8 +63,10 @@
     const exchange = new UpstreamExchange(
       { ...options.request, maxFramingBytes },
       {
-        onConnect: () => {
-          if (options.isExpired()) settle({ kind: 'aborted', reason: 'time_limit' });
+        confirmSend: () => {
+          const isExpired = options.isExpired();
+          if (isExpired) settle({ kind: 'aborted', reason: 'time_limit' });
+          return !isExpired;
         },
         onHead: (status, headers) => {
           const head = options.codec.decodeResponse(status, headers);
--- a/src/request/forwarding/upstreamExchange.ts
+++ b/src/request/forwarding/upstreamExchange.ts
@@ -24,8 +24,12 @@
 }
 
 export interface ExchangeEvents {
-  /** Called when the connection is open, right before the request is written; `abort` keeps it from being sent. */
-  onConnect(): void;
+  /**
+   * Called when the connection is open, right before the request is written.
+   *
+   * @returns False if the request must not be sent; the exchange is aborted then
+   */
+  confirmSend(): boolean;
   onHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void;
   onData(data: Buffer): void;
   /**
@@ -147,10 +151,9 @@
       // A process that is short of processor time reads many events at once, and a disconnect of the caller may be the
       // last of them.
       setImmediate(() => {
-        if (this.hasEnded || socket.destroyed) return;
-        this.events.onConnect();
+        if (this.hasEnded || socket.destroyed || !this.events.confirmSend()) return;
         isOpen = true;
-        if (!socket.destroyed) callback(null, socket);
+        callback(null, socket);
       });
     });
   }
