perf: bundle without optional modules that each start loads

Cause: at each start cbor-x looked for a native build of itself, with a diagnostic report of the process (62 ms of a CPU profile of the start), found none beside the bundle and went on without; undici loaded HTTP/2. Ruled out: a code cache with all functions compiled (--no-lazy): 2.7 instead of 0.8 MB, and reading it costs what it saves. Change: both modules are left out of the bundle. Before and after, three runs each outside a deployment: 106 to 114 and 76 to 80 ms to run the bundle's top level.

--- a/deploy/launch/bundle.mjs
+++ b/deploy/launch/bundle.mjs
@@ -6,6 +6,11 @@
 const resolvePath = (path) => fileURLToPath(new URL(path, import.meta.url));
 const target = resolvePath('../../target/');
 const HEAP_FLAG = '--max-old-space-size=128';
+/**
+ * Optional modules that the programs do not use but would load at each start: the native decoder of cbor-x, which looks
+ * for a build of itself with a diagnostic report of the process, and the HTTP/2 client of undici.
+ */
+const UNUSED_MODULES = /(^cbor-extract|\/client-h2\.js)$/;
 
 mkdirSync(target, { recursive: true });
 await build({
@@ -28,6 +33,18 @@
         bundler.onResolve({ filter: /^undici\/lib\// }, ({ path }) => ({ path: library + path }));
       },
     },
+    {
+      name: 'unused-modules',
+      setup(bundler) {
+        bundler.onResolve({ filter: UNUSED_MODULES }, ({ path }) => ({
+          path,
+          namespace: 'unused',
+        }));
+        bundler.onLoad({ filter: /.*/, namespace: 'unused' }, () => ({
+          contents: 'module.exports = undefined;',
+        }));
+      },
+    },
   ],
 });
 copyFileSync(resolvePath('launch.cjs'), `${target}parsleyfold.cjs`);
