feat: gateways tell each other the groups of engines

Ruled out: groups in the upstream list (not stated there); one gateway that probes for all (its loss would stop all learning). Change: an engine is probed by the first linked gateway in its rendezvous order, the next one takes over after 0.5 s; what was read is told to the linked gateways, and all of it to a new link (topic upstreamGroups, switched on by the features of the hello).

--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -26,12 +26,13 @@
 import { GatewayPeers } from './gatewayPeers.js';
 import {
   createCrashTopic,
+  createGroupTopic,
   createRateLimitTopic,
   createStatementTopic,
   peerFeatures,
 } from './peerTopics.js';
 import { GatewayRateLimits } from './gatewayRateLimits.js';
-import { discoverGroup } from './groupDiscovery.js';
+import { GroupDiscovery } from './groupDiscovery.js';
 import { maintainGroupProbes } from './groupProbing.js';
 import { PeerSnapshots } from './peerSnapshots.js';
 import { maintainConfiguration, maintainUpstreams } from './storePolling.js';
@@ -73,6 +74,7 @@
   private readonly rateLimits: GatewayRateLimits;
   private readonly crashes: CrashContainment;
   private readonly statements: UpstreamStatements;
+  private readonly groups: GroupDiscovery;
   private readonly queues = new Map<ServiceId, AdmissionQueue>();
   private readonly repeatBudgets = new Map<ServiceId, SlidingWindowBudget>();
   private readonly front: Server;
@@ -137,6 +139,20 @@
       logger,
       metrics: this.metrics,
     });
+    this.groups = new GroupDiscovery({
+      ...dependencies,
+      self: settings.processId,
+      hasPeers: settings.seeds.some((seed) => seed !== settings.linkAddress),
+      configurationCache: this.configurationCache,
+      directory: this.directory,
+      health: this.balancer.health,
+      statements: this.statements,
+      metrics: this.metrics,
+      readClock: () => this.readClock(),
+      broadcast: (message) => {
+        this.peers.broadcast(message, peerFeatures.groups);
+      },
+    });
     this.context = {
       configurationCache: this.configurationCache,
       directory: this.directory,
@@ -174,7 +190,7 @@
         this.applyLimits();
       },
       onUpstreamStarted: (upstream) => {
-        this.startGroupDiscovery(upstream);
+        this.groups.add(upstream);
       },
     });
     const readClock = (): number => this.readClock();
@@ -200,6 +216,7 @@
         createRateLimitTopic(this.rateLimits.limiter, readClock, scheduleDispatch),
         createCrashTopic(this.crashes, readClock),
         createStatementTopic(this.statements),
+        createGroupTopic(this.groups),
       ],
       logger,
       signal: this.stopController.signal,
@@ -266,7 +283,7 @@
       readClock: () => this.readClock(),
       readMonotonicClock: () => performance.now(),
       onUpstreamStarted: (upstream: UpstreamId) => {
-        this.startGroupDiscovery(upstream);
+        this.groups.add(upstream);
       },
       queryPeers: (configurationOnly: boolean) =>
         this.peers.queryAll(this.configurationCache.version, configurationOnly),
@@ -293,6 +310,7 @@
     const timer = setInterval(() => {
       this.rateLimits.advance(this.readClock());
       this.dispatchAll();
+      this.groups.advance(this.readClock());
     }, DISPATCH_INTERVAL_MS);
     this.stopController.signal.addEventListener('abort', () => {
       clearInterval(timer);
@@ -377,18 +395,6 @@
     );
   }
 
-  private startGroupDiscovery(upstream: UpstreamId): void {
-    const options = {
-      ...this.dependencies,
-      configurationCache: this.configurationCache,
-      directory: this.directory,
-      health: this.balancer.health,
-      statements: this.statements,
-      readClock: () => this.readClock(),
-    };
-    void discoverGroup(options, upstream);
-  }
-
   private readClock(): number {
     return this.clock.readNow(performance.now(), Date.now());
   }
--- a/src/process/gateway/peerTopics.ts
+++ b/src/process/gateway/peerTopics.ts
@@ -4,12 +4,14 @@
 import type { CrashContainment } from '../../request/containment/crashContainment.js';
 import type { LeaveReason } from '../../request/rateLimit/issuerChoice.js';
 import type { RateLimiter } from '../../request/rateLimit/rateLimiter.js';
+import type { GroupDiscovery } from './groupDiscovery.js';
 
 /** Features in the hello of gateways that understand the messages of a topic. */
 export const peerFeatures = {
   rateLimits: 'rateLimits',
   crashes: 'crashReports',
   statements: 'upstreamStatements',
+  groups: 'upstreamGroups',
 } as const;
 
 /** One kind of state that gateways exchange. */
@@ -79,6 +81,32 @@
   };
 }
 
+/**
+ * Exchanges the groups of upstreams, all that are known with a new link.
+ *
+ * @param discovery - Owner of the state
+ * @returns The topic
+ */
+export function createGroupTopic(
+  discovery: Pick<GroupDiscovery, 'receive' | 'createMessages' | 'knowledge'>,
+): PeerTopic {
+  return {
+    feature: peerFeatures.groups,
+    handlers: {
+      upstreamGroups: (message, link) => {
+        discovery.receive(message, link.peer.processId);
+      },
+    },
+    createGreeting: () => discovery.createMessages(),
+    onLinked: (processId) => {
+      discovery.knowledge.addTeller(processId);
+    },
+    onLost: (processId) => {
+      discovery.knowledge.removeTeller(processId);
+    },
+  };
+}
+
 /**
  * Exchanges rate limits of upstreams, demand for permits and permits.
  *
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -236,6 +236,21 @@
   startedAt: z.number().optional(),
 });
 
+/** Gateway to gateway: groups that the sender has read from upstreams; on a new link, all that it knows. */
+const upstreamGroups = z.object({
+  type: z.literal('upstreamGroups'),
+  groups: z.array(
+    z.object({
+      upstream: id,
+      startedAt: z.number(),
+      /** Omitted for an upstream without a group. */
+      group: id.optional(),
+      /** Omitted if the sender has not just read it. */
+      isOpen: z.boolean().optional(),
+    }),
+  ),
+});
+
 const maxCrashKeys = 512;
 const crashKeys = z.array(id).max(maxCrashKeys);
 
@@ -396,6 +411,7 @@
   permits,
   crashNotice,
   upstreamLeaving,
+  upstreamGroups,
   crashReport,
   crashCleared,
   knowledgeAsk,
--- a/src/request/routing/rendezvousOrder.ts
+++ b/src/request/routing/rendezvousOrder.ts
@@ -31,3 +31,28 @@
 export function hashPair(key: string, id: string): number {
   return createHash('sha1').update(`${key}\n${id}`).digest().readUInt32BE(0);
 }
+
+/**
+ * Hashes text to 32 bits, for `computePairWeight`.
+ *
+ * @param text - Any text
+ * @returns The hash
+ */
+export function hashText(text: string): number {
+  return createHash('sha1').update(text).digest().readUInt32BE(0);
+}
+
+/**
+ * Computes a rendezvous weight from the hashes of key and id, for callers that compare many pairs of few texts.
+ *
+ * @param keyHash - Hash of what the item is chosen for
+ * @param idHash - Hash of the id of the item
+ * @returns Weight of 32 bits
+ */
+export function computePairWeight(keyHash: number, idHash: number): number {
+  // The finalizer of MurmurHash3, so that weights of similar pairs are independent.
+  let mixed = Math.imul(keyHash ^ (keyHash >>> 16), 0x85ebca6b) ^ idHash;
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+  return (mixed ^ (mixed >>> 13)) >>> 0;
+}
