--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -21,6 +21,7 @@
 import { Metrics } from '../metrics.js';
 import { startMetricsServer } from '../metricsServer.js';
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
+import { StartTimeline } from '../startTimeline.js';
 import { CallerConnections } from './callerConnections.js';
 import { ConfigurationCache } from './configurationCache.js';
 import { GatewayPeers } from './gatewayPeers.js';
@@ -75,6 +76,7 @@
   private readonly crashes: CrashContainment;
   private readonly statements: UpstreamStatements;
   private readonly groups: GroupDiscovery;
+  private readonly startTimeline: StartTimeline;
   private readonly queues = new Map<ServiceId, AdmissionQueue>();
   private readonly repeatBudgets = new Map<ServiceId, SlidingWindowBudget>();
   private readonly front: Server;
@@ -139,6 +141,7 @@
       logger,
       metrics: this.metrics,
     });
+    this.startTimeline = new StartTimeline(this.metrics, logger);
     this.groups = new GroupDiscovery({
       ...dependencies,
       self: settings.processId,
@@ -311,11 +314,17 @@
       this.rateLimits.advance(this.readClock());
       this.dispatchAll();
       this.groups.advance(this.readClock());
+      this.observeStart();
     }, DISPATCH_INTERVAL_MS);
     this.stopController.signal.addEventListener('abort', () => {
       clearInterval(timer);
     });
-    dependencies.logger.info({ incarnation: this.incarnation }, 'gateway started');
+    this.startTimeline.observe({ listening: true });
+    const { wallMs, processorMs } = this.startTimeline.describe().listening ?? {};
+    dependencies.logger.info(
+      { incarnation: this.incarnation, wallMs, processorMs },
+      'gateway started',
+    );
   }
 
   /**
@@ -367,6 +376,8 @@
       storeEra: this.storeEra.current,
       isStoreComplete: this.storeEra.isComplete(performance.now()),
       gateways: this.peers.size,
+      start: this.startTimeline.describe(),
+      unknownGroups: this.groups.knowledge.unknownCount,
       upstreams: this.directory.listAll(),
       loads: this.balancer.describe(now),
       rateLimits: this.rateLimits.limiter.describe(now),
@@ -422,6 +433,21 @@
     this.front.requestTimeout = 0;
   }
 
+  private observeStart(): void {
+    if (this.startTimeline.isComplete) return;
+    const { metrics } = this;
+    const isConfigured = this.configurationCache.current !== undefined;
+    const hasUpstreams = this.directory.listAll().length > 0;
+    this.startTimeline.observe({
+      configuration: isConfigured,
+      upstreams: hasUpstreams,
+      first_peer: this.peers.size > 1,
+      groups: isConfigured && hasUpstreams && this.groups.knowledge.unknownCount === 0,
+      first_response:
+        metrics.getCount('outcome_streamed') + metrics.getCount('outcome_answered') > 0,
+    });
+  }
+
   private getMaxGapMs(service: ServiceId): number {
     return this.configurationCache.current?.maxGapsMs.get(service) ?? Infinity;
   }
