--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -21,18 +21,20 @@
 import { Metrics } from '../metrics.js';
 import { startMetricsServer } from '../metricsServer.js';
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
+import { StartTimeline } from '../startTimeline.js';
 import { CallerConnections } from './callerConnections.js';
 import { ConfigurationCache } from './configurationCache.js';
 import { GatewayPeers } from './gatewayPeers.js';
 import {
   createColdTopic,
   createCrashTopic,
+  createGroupTopic,
   createRateLimitTopic,
   createStatementTopic,
   peerFeatures,
 } from './peerTopics.js';
 import { GatewayRateLimits } from './gatewayRateLimits.js';
-import { discoverGroup } from './groupDiscovery.js';
+import { GroupDiscovery } from './groupDiscovery.js';
 import { maintainGroupProbes } from './groupProbing.js';
 import { PeerSnapshots } from './peerSnapshots.js';
 import { maintainConfiguration, maintainUpstreams } from './storePolling.js';
@@ -76,6 +78,8 @@
   private readonly rateLimits: GatewayRateLimits;
   private readonly crashes: CrashContainment;
   private readonly statements: UpstreamStatements;
+  private readonly groups: GroupDiscovery;
+  private readonly startTimeline: StartTimeline;
   private readonly queues = new Map<ServiceId, AdmissionQueue>();
   private readonly repeatBudgets = new Map<ServiceId, SlidingWindowBudget>();
   private readonly front: Server;
@@ -149,6 +153,21 @@
       logger,
       metrics: this.metrics,
     });
+    this.startTimeline = new StartTimeline(this.metrics, logger);
+    this.groups = new GroupDiscovery({
+      ...dependencies,
+      self: settings.processId,
+      hasPeers: settings.seeds.some((seed) => seed !== settings.linkAddress),
+      configurationCache: this.configurationCache,
+      directory: this.directory,
+      health: this.balancer.health,
+      statements: this.statements,
+      metrics: this.metrics,
+      readClock: () => this.readClock(),
+      broadcast: (message) => {
+        this.peers.broadcast(message, peerFeatures.groups);
+      },
+    });
     this.context = {
       configurationCache: this.configurationCache,
       directory: this.directory,
@@ -190,7 +209,7 @@
         this.applyLimits();
       },
       onUpstreamStarted: (upstream) => {
-        this.startGroupDiscovery(upstream);
+        this.groups.add(upstream);
       },
     });
     const readClock = (): number => this.readClock();
@@ -217,6 +236,7 @@
         createColdTopic(this.rateLimits.cold, readClock),
         createCrashTopic(this.crashes, readClock),
         createStatementTopic(this.statements),
+        createGroupTopic(this.groups),
       ],
       logger,
       signal: this.stopController.signal,
@@ -285,7 +305,7 @@
       readClock: () => this.readClock(),
       readMonotonicClock: () => performance.now(),
       onUpstreamStarted: (upstream: UpstreamId) => {
-        this.startGroupDiscovery(upstream);
+        this.groups.add(upstream);
       },
       queryPeers: (configurationOnly: boolean) =>
         this.peers.queryAll(this.configurationCache.version, configurationOnly),
@@ -312,11 +332,18 @@
     const timer = setInterval(() => {
       this.rateLimits.advance(this.readClock());
       this.dispatchAll();
+      this.groups.advance(this.readClock());
+      this.observeStart();
     }, DISPATCH_INTERVAL_MS);
     this.stopController.signal.addEventListener('abort', () => {
       clearInterval(timer);
     });
-    dependencies.logger.info({ incarnation: this.incarnation }, 'gateway started');
+    this.startTimeline.observe({ listening: true });
+    const { wallMs, processorMs } = this.startTimeline.describe().listening ?? {};
+    dependencies.logger.info(
+      { incarnation: this.incarnation, wallMs, processorMs },
+      'gateway started',
+    );
   }
 
   /**
@@ -369,6 +396,8 @@
       isStoreComplete: this.storeEra.isComplete(performance.now()),
       evacuations: this.evacuations.describe(now),
       gateways: this.peers.size,
+      start: this.startTimeline.describe(),
+      unknownGroups: this.groups.knowledge.unknownCount,
       upstreams: this.directory.listAll(),
       loads: this.balancer.describe(now),
       rateLimits: this.rateLimits.limiter.describe(now),
@@ -398,18 +427,6 @@
     );
   }
 
-  private startGroupDiscovery(upstream: UpstreamId): void {
-    const options = {
-      ...this.dependencies,
-      configurationCache: this.configurationCache,
-      directory: this.directory,
-      health: this.balancer.health,
-      statements: this.statements,
-      readClock: () => this.readClock(),
-    };
-    void discoverGroup(options, upstream);
-  }
-
   private readClock(): number {
     return this.clock.readNow(performance.now(), Date.now());
   }
@@ -437,6 +454,21 @@
     this.front.requestTimeout = 0;
   }
 
+  private observeStart(): void {
+    if (this.startTimeline.isComplete) return;
+    const { metrics } = this;
+    const isConfigured = this.configurationCache.current !== undefined;
+    const hasUpstreams = this.directory.listAll().length > 0;
+    this.startTimeline.observe({
+      configuration: isConfigured,
+      upstreams: hasUpstreams,
+      first_peer: this.peers.size > 1,
+      groups: isConfigured && hasUpstreams && this.groups.knowledge.unknownCount === 0,
+      first_response:
+        metrics.getCount('outcome_streamed') + metrics.getCount('outcome_answered') > 0,
+    });
+  }
+
   private getMaxGapMs(service: ServiceId): number {
     return this.configurationCache.current?.maxGapsMs.get(service) ?? Infinity;
   }
--- a/src/request/forwarding/upstreamExchange.ts
+++ b/src/request/forwarding/upstreamExchange.ts
@@ -24,6 +24,12 @@
 }
 
 export interface ExchangeEvents {
+  /**
+   * Called when the connection is open, right before the request is written.
+   *
+   * @returns False if the request must not be sent; the exchange is aborted then
+   */
+  confirmSend(): boolean;
   onHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void;
   onData(data: Buffer): void;
   /**
@@ -142,8 +148,13 @@
     });
     socket.once('connect', () => {
       clearTimeout(timer);
-      isOpen = true;
-      callback(null, socket);
+      // A process that is short of processor time reads many events at once, and a disconnect of the caller may be the
+      // last of them.
+      setImmediate(() => {
+        if (this.hasEnded || socket.destroyed || !this.events.confirmSend()) return;
+        isOpen = true;
+        callback(null, socket);
+      });
     });
   }
 
