feat: plan expert maps by the pace of each rank

A slow rank kept its experts, and a pass waits for the most loaded rank. A required field was ruled out: the test of an engine without a pace failed.

--- a/src/process/ranker/computeSkew.spec.ts
+++ b/src/process/ranker/computeSkew.spec.ts
@@ -30,6 +30,8 @@
     ];
     expect(computeSkew(load, single)).to.be.closeTo((8 + 6) / 12, 1e-9);
     expect(computeSkew(load, replicated)).to.be.closeTo((7 + 6) / 12, 1e-9);
+    // A rank that needs three times as long counts three times.
+    expect(computeSkew(load, single, [1, 3])).to.be.closeTo((12 + 18) / 12, 1e-9);
     expect(computeSkew([[0, 0]], [[[0], [1]]])).to.equal(1);
   });
 });
--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -7,6 +7,7 @@
 import { changeMap } from './changeMap.js';
 import { ChangeTimer } from './changeTimer.js';
 import { computeSkew } from './computeSkew.js';
+import { listPaces } from './rankPaces.js';
 import type { GroupView, RankState } from './groupView.js';
 import { PlanRate } from './planRate.js';
 import { resolveHeldPass } from './resolveHeldPass.js';
@@ -107,7 +108,9 @@
     return false;
   if (states.some(({ report }) => report.armed !== undefined)) return false;
   const plannedAt = readClock();
-  if (!planRate.isDue(plannedAt, () => computeSkew(demand.getLoad(), placement))) return false;
+  const paces = listPaces(states);
+  if (!planRate.isDue(plannedAt, () => computeSkew(demand.getLoad(), placement, paces)))
+    return false;
   const plan = planCopies(demand.getLoad(), placement, {
     slotsPerRank: layout.slotsPerRank,
     maxLoadsPerLayer: layout.maxLoadsPerLayer,
@@ -116,6 +119,7 @@
     stopMs: overhead.averageStopMs,
     persistenceMs: PERSISTENCE_MS,
     expertShare: layout.expertShare,
+    paces,
   });
   const startedAt = readClock();
   metrics.recordLatency('map_plan', startedAt - plannedAt);
@@ -152,7 +156,8 @@
       drops: plan.drops,
       skewBefore: round(plan.skewBefore),
       skewPlanned: round(plan.skewAfter),
-      skewAfter: round(computeSkew(demand.getLoad(), inUse)),
+      skewAfter: round(computeSkew(demand.getLoad(), inUse, paces)),
+      slowRanks: paces.filter((pace) => pace > 1).length,
       demand: Math.round(demand.total),
       tookMs: Math.round(tookMs),
       ...durations,
--- a/src/process/ranker/groupLinks.ts
+++ b/src/process/ranker/groupLinks.ts
@@ -115,9 +115,9 @@
           linkedRank = message.report.rank;
           const remote = remoteRanks.get(link) ?? this.createRemoteRank(link);
           remoteRanks.set(link, remote);
-          const { prepared, armed, held, ...report } = message.report;
+          const { prepared, armed, held, pace = 1, ...report } = message.report;
           this.view.applyStatus(
-            { ...message, report: { ...report, prepared, armed, held } },
+            { ...message, report: { ...report, prepared, armed, held, pace } },
             (order, epoch) => remote.sendOrder(order, epoch),
             performance.now(),
           );
--- a/src/process/ranker/types.ts
+++ b/src/process/ranker/types.ts
@@ -23,6 +23,8 @@
   readonly held: number | undefined;
   readonly running: number;
   readonly queued: number;
+  /** Time that the rank takes for its work, relative to a healthy one; 1 if omitted. */
+  readonly pace?: number;
 }
 
 /** How often the requests of a rank have selected each expert since the rank started. */
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -328,6 +328,8 @@
     held: count.optional(),
     running: count,
     queued: count,
+    /** Omitted by a ranker that does not know it. */
+    pace: z.number().positive().optional(),
   }),
   /** Set if the active expert map has changed. */
   experts: layerExperts.optional(),
