fix: statements on cold upstreams count before the first send, and reach gateways without a link to the reader

Change: observed when the listing is applied; cold times beside the relayed list; ends always kept, the limit looked up when used; monotonic clock; compared with the end as told; upstreams of a zone that returns to service count as cold.

--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -105,6 +105,9 @@
     );
     this.evacuations = new ZoneEvacuations({
       directory: this.directory,
+      onReturn: (entries, now) => {
+        this.rateLimits.cold.assumeCold(entries, now);
+      },
       logger,
       metrics: this.metrics,
     });
@@ -115,6 +118,7 @@
       logger,
       metrics: this.metrics,
       readClock: () => this.readClock(),
+      readMonotonicClock: () => performance.now(),
       broadcastCold: (message) => {
         this.peers.broadcast(message, peerFeatures.cold);
       },
@@ -123,6 +127,9 @@
         this.peers.send(gateway, message);
       },
     });
+    this.directory.onListing = (entries, now) => {
+      this.rateLimits.cold.observeListing(entries, now);
+    };
     this.crashes = new CrashContainment({
       self: settings.processId,
       listLinked: () => this.peers.listLinked(),
@@ -183,6 +190,7 @@
       readClock: () => this.readClock(),
       readMonotonicClock: () => performance.now(),
       evacuations: this.evacuations,
+      cold: this.rateLimits.cold,
       onEvacuation: () => {
         this.dispatchAll();
       },
@@ -214,7 +222,7 @@
       balancer: this.balancer,
       topics: [
         createRateLimitTopic(this.rateLimits.limiter, readClock, scheduleDispatch),
-        createColdTopic(this.rateLimits.cold, readClock),
+        createColdTopic(this.rateLimits.cold, () => performance.now()),
         createCrashTopic(this.crashes, readClock),
         createStatementTopic(this.statements),
       ],
@@ -372,7 +380,7 @@
       upstreams: this.directory.listAll(),
       loads: this.balancer.describe(now),
       rateLimits: this.rateLimits.limiter.describe(now),
-      cold: this.rateLimits.cold.describe(now),
+      cold: this.rateLimits.cold.describe(performance.now()),
       refused: this.crashes.describe(now),
       waiting: Object.fromEntries([...this.queues].map(([id, queue]) => [id, queue.length])),
     };
--- a/src/process/gateway/gatewayRateLimits.ts
+++ b/src/process/gateway/gatewayRateLimits.ts
@@ -17,11 +17,12 @@
 export interface GatewayRateLimitsOptions {
   /** Process id of this gateway. */
   readonly self: string;
-  readonly directory: Pick<UpstreamDirectory, 'listAll' | 'computeAge'>;
+  readonly directory: Pick<UpstreamDirectory, 'listAll'>;
   readonly getService: (service: ServiceId) => ServiceDefinition | undefined;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly readClock: () => number;
+  readonly readMonotonicClock: () => number;
   readonly countGateways: (now: number) => number;
   readonly send: (gateway: string, message: Message) => void;
   /** Sends a message about cold upstreams to all linked gateways. */
@@ -41,6 +42,7 @@
     const { self, logger, metrics, readClock, send } = options;
     this.observer = new RateLimitObserver({
       records: this.records,
+      isCold: (upstream) => this.cold.find(upstream) !== undefined,
       logger,
       metrics,
       onResponseChange: (upstream, now) => {
@@ -69,9 +71,7 @@
    * @param now - Current time in milliseconds
    */
   advance(now: number): void {
-    const { directory } = this.options;
-    this.cold.observeListing(directory.listAll(), now - directory.computeAge(now));
-    this.cold.expire(now);
+    this.cold.expire(this.options.readMonotonicClock());
     if (!this.limiter.hasLimits) {
       // The last limit may just have ended, and its permits, demand and issuer with it.
       if (this.hadLimits) this.limiter.advance(now);
--- a/src/process/gateway/peerSnapshots.ts
+++ b/src/process/gateway/peerSnapshots.ts
@@ -7,6 +7,7 @@
 import { ListingHistory } from './listingHistory.js';
 import type { StoreEra } from './storeEra.js';
 import type { ConfigurationSource } from './types.js';
+import type { ColdLimits } from '../../request/rateLimit/coldLimits.js';
 import type { UpstreamEntry } from '../../version/routing/types.js';
 import type { RemovedUpstream, UpstreamDirectory } from './upstreamDirectory.js';
 import type { ZoneEvacuations } from './zoneEvacuations.js';
@@ -30,6 +31,8 @@
   readonly configurationCache: ConfigurationCache;
   readonly directory: UpstreamDirectory;
   readonly evacuations: ZoneEvacuations;
+  /** Cold upstreams, told with the upstream list. */
+  readonly cold?: Pick<ColdLimits, 'encode' | 'receive'>;
   readonly storeEra: StoreEra;
   readonly source: Pick<ConfigurationSource, 'decodeDocument'>;
   readonly logger: Logger;
@@ -80,6 +83,7 @@
     const proofAgeMs = configurationCache.computeAge(now);
     const listingAgeMs = directory.computeAge(now);
     const evacuations = this.options.evacuations.describe(now);
+    const cold = this.options.cold?.encode(monotonicNow) ?? [];
     const { current } = configurationCache;
     const { current: era } = storeEra;
     return {
@@ -95,6 +99,7 @@
       ...(Number.isFinite(listingAgeMs) && !configurationOnly
         ? { listingAgeMs, listingEra: directory.era }
         : {}),
+      ...(cold.length > 0 ? { cold } : {}),
       ...this.describeListing(configurationOnly, listing),
     };
   }
@@ -120,6 +125,8 @@
     configurationCache.revalidate(version, validatedAt);
     if (document !== undefined && version > configurationCache.version)
       this.applyDocument(snapshot, document, validatedAt);
+    // The list may name upstreams that this gateway does not know yet.
+    this.options.cold?.receive(snapshot.cold ?? [], sender, monotonicNow);
     if (snapshot.listingAgeMs !== undefined)
       this.applyListing(snapshot, queriedAt - snapshot.listingAgeMs, sender);
   }
@@ -229,15 +236,12 @@
   }
 }
 
+/** Cold times are told apart: they change with each read, and so would the list. */
 function encodeUpstream({ startedAt, heartbeat, ...rest }: UpstreamEntry): WireUpstream {
-  const { id, service, address, availabilityZone, slots, isDraining } = rest;
+  const entry = { ...rest };
+  delete entry.coldRemainingMs;
   return {
-    id,
-    service,
-    address,
-    availabilityZone,
-    slots,
-    isDraining,
+    ...entry,
     ...(startedAt === undefined ? {} : { startedAt }),
     ...(heartbeat === undefined ? {} : { heartbeat }),
   };
--- a/src/process/gateway/peerTopics.ts
+++ b/src/process/gateway/peerTopics.ts
@@ -124,20 +124,20 @@
  * Exchanges which upstreams are cold, all of them with a new link.
  *
  * @param cold - Owner of the state
- * @param readClock - Current time in milliseconds
+ * @param readMonotonicClock - Current time in milliseconds
  * @returns The topic
  */
 export function createColdTopic(
   cold: Pick<ColdLimits, 'receive' | 'createMessages'>,
-  readClock: () => number,
+  readMonotonicClock: () => number,
 ): PeerTopic {
   return {
     feature: peerFeatures.cold,
     handlers: {
       coldUpstreams: (message, link) => {
-        cold.receive(message, link.peer.processId, readClock());
+        cold.receive(message.upstreams, link.peer.processId, readMonotonicClock());
       },
     },
-    createGreeting: (now) => cold.createMessages(now),
+    createGreeting: () => cold.createMessages(readMonotonicClock()),
   };
 }
--- a/src/process/gateway/upstreamDirectory.ts
+++ b/src/process/gateway/upstreamDirectory.ts
@@ -43,6 +43,8 @@
  *   work, and an entry gets none once another upstream has responded at its address.
  */
 export class UpstreamDirectory {
+  /** Called with each applied listing, before its upstreams can be chosen. */
+  onListing: (entries: readonly UpstreamEntry[], now: number) => void = () => undefined;
   private entries = new Map<UpstreamId, UpstreamEntry>();
   private listed: readonly UpstreamEntry[] = [];
   /** Entries at whose address another upstream has responded. */
@@ -149,6 +151,7 @@
     }
     this.entries = next;
     this.listed = [...next.values()];
+    this.onListing(this.listed, now);
     this.indexByService();
     return changes;
   }
--- a/src/process/gateway/zoneEvacuations.ts
+++ b/src/process/gateway/zoneEvacuations.ts
@@ -1,6 +1,7 @@
 import type { AvailabilityZoneId } from '../../ids.js';
 import type { Logger } from '../logging.js';
 import type { Metrics } from '../metrics.js';
+import type { UpstreamEntry } from '../../version/routing/types.js';
 import type { UpstreamDirectory } from './upstreamDirectory.js';
 
 /** The operator writes again what a restored store lacks within about 2 s. */
@@ -19,6 +20,8 @@
 
 export interface ZoneEvacuationsOptions {
   readonly directory: Pick<UpstreamDirectory, 'excludeZones' | 'listAll'>;
+  /** Called with the upstreams that return to service, before they can be chosen. */
+  readonly onReturn?: (entries: readonly UpstreamEntry[], now: number) => void;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -58,7 +61,7 @@
     if (isOutdated && !isRetained) return false;
     if (!isOutdated) this.readStartedAt = readStartedAt;
     const kept = isRetained || !read.isComplete ? this.zones : [];
-    return this.replaceZones(new Set([...kept, ...read.zones]), clockNow - readStartedAt);
+    return this.replaceZones(new Set([...kept, ...read.zones]), clockNow - readStartedAt, now);
   }
 
   /**
@@ -83,12 +86,21 @@
     return { zones: [...this.zones].sort(), ageMs, era: this.era };
   }
 
-  private replaceZones(zones: ReadonlySet<AvailabilityZoneId>, readAgeMs: number): boolean {
+  private replaceZones(
+    zones: ReadonlySet<AvailabilityZoneId>,
+    readAgeMs: number,
+    now: number,
+  ): boolean {
     const { directory, logger, metrics } = this.options;
     const started = [...zones].filter((zone) => !this.zones.has(zone));
     const ended = [...this.zones].filter((zone) => !zones.has(zone));
     if (started.length === 0 && ended.length === 0) return false;
     this.zones = zones;
+    const endedZones = new Set(ended);
+    const returning = directory
+      .listAll()
+      .filter(({ availabilityZone }) => endedZones.has(availabilityZone));
+    this.options.onReturn?.(returning, now);
     directory.excludeZones(zones);
     const countUpstreams = (zone: AvailabilityZoneId): number =>
       directory.listAll().filter(({ availabilityZone }) => availabilityZone === zone).length;
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -271,6 +271,11 @@
 /** Gateway to gateway: what the sender has read from the store has changed. */
 const knowledgeHint = z.object({ type: z.literal('knowledgeHint') });
 
+/** Cold upstreams with the time for which they stay cold, from when it was sent. */
+const coldTimes = z.array(
+  z.object({ upstream: id, service: id, remainingMs: z.number().nonnegative() }),
+);
+
 /** Ages are measured from the start of the store read, so they are never too low. */
 const knowledgeReply = z.object({
   type: z.literal('knowledgeReply'),
@@ -295,6 +300,8 @@
   /** Listing that `upstreams` changes; without it, `upstreams` is complete. */
   listingBase: z.string().max(MAX_LISTING_ID_LENGTH).optional(),
   removedUpstreams: z.array(id).optional(),
+  /** Cold upstreams of the list; left out while all are warm. */
+  cold: coldTimes.optional(),
   /** Last known state of upstreams that have been removed. */
   removals: z
     .array(z.object({ id, startedAt: count.optional(), heartbeat: count.optional(), era: count }))
@@ -314,12 +321,7 @@
 });
 
 /** Gateway to gateway: upstreams that are cold, as their entries in the store state. */
-const coldUpstreams = z.object({
-  type: z.literal('coldUpstreams'),
-  upstreams: z.array(
-    z.object({ upstream: id, service: id, remainingMs: z.number().nonnegative() }),
-  ),
-});
+const coldUpstreams = z.object({ type: z.literal('coldUpstreams'), upstreams: coldTimes });
 
 const layerExperts = z.array(z.array(count));
 
--- a/src/request/rateLimit/coldLimits.spec.ts
+++ b/src/request/rateLimit/coldLimits.spec.ts
@@ -5,9 +5,11 @@
 import { Metrics } from '../../process/metrics.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
 import type { UpstreamEntry } from '../../version/routing/types.js';
+import { UpstreamDirectory } from '../../process/gateway/upstreamDirectory.js';
 import { ColdLimits } from './coldLimits.js';
 
 const service = toId<ServiceId>('chat');
+const incarnation = toId<UpstreamIncarnation>('i-1@1');
 const START_MS = 3_000;
 const LIMIT = 4;
 
@@ -95,24 +97,72 @@
     expect(remaining).to.deep.equal([0, 0, 0]);
   });
 
-  it('guards against a cold upstream without a limit of its service', () => {
-    const { limits, sent } = createLimits(0);
+  it('guards against a limit on upstreams whose service states none', () => {
+    const { limits } = createLimits(0);
     limits.observeListing([createEntry({ coldRemainingMs: 5_000 })], 0);
-    expect(limits.list().size).to.equal(0);
-    expect(sent).to.deep.equal([]);
+    expect(limits.find(incarnation)).to.equal(undefined);
   });
 
-  it('guards against gateways that do not read the store and never learn of a cold upstream', () => {
+  it('guards against a statement that is lost because the configuration is not known yet', () => {
+    let perSecond = 0;
+    const limits = new ColdLimits({
+      getService: (id) => ({ id, maxConnections: 10, coldRequestsPerSecond: perSecond }),
+      broadcast: () => undefined,
+      logger: createLogger('test'),
+      metrics: new Metrics(),
+    });
+    limits.observeListing([createEntry({ coldRemainingMs: 5_000 })], 0);
+    perSecond = LIMIT;
+    expect(limits.find(incarnation)).to.equal(LIMIT);
+  });
+
+  it('guards against a cold time that is told to no or only some gateways', () => {
     const { limits, sent } = createLimits();
     limits.observeListing([createEntry({ coldRemainingMs: 2_000 })], 1_000);
-    const other = createLimits().limits;
-    for (const message of [...sent, ...limits.createMessages(1_500)]) {
-      other.receive(message as MessageOf<'coldUpstreams'>, 'a', 1_600);
+    const [message] = sent as MessageOf<'coldUpstreams'>[];
+    const [greeting] = limits.createMessages(1_500) as MessageOf<'coldUpstreams'>[];
+    const ends: number[] = [];
+    for (const upstreams of [message?.upstreams, greeting?.upstreams, limits.encode(1_500)]) {
+      const other = createLimits().limits;
+      other.receive(upstreams ?? [], 'a', 1_500);
+      ends.push(Object.values(other.describe(1_500))[0]?.remainingMs ?? 0);
+    }
+    expect(ends).to.deep.equal([2_000, 1_500, 1_500]);
+  });
+
+  it('guards against small extensions that add up without being told', () => {
+    const { limits, sent } = createLimits();
+    for (let heartbeat = 1; heartbeat <= 5; heartbeat += 1) {
+      const entry = createEntry({ heartbeat, coldRemainingMs: 3_000 });
+      limits.observeListing([entry], heartbeat * 400);
     }
-    expect(other.find(toId<UpstreamIncarnation>('i-1@1'))).to.equal(LIMIT);
-    other.expire(3_599);
-    expect(other.list().size).to.equal(1);
-    other.expire(3_600);
-    expect(other.list().size).to.equal(0);
+    expect(sent).to.have.length(3);
+  });
+
+  it('guards against full load on upstreams of a zone that returns to service cold', () => {
+    const { limits } = createLimits();
+    limits.observeListing([createEntry()], 0);
+    limits.assumeCold([createEntry()], 10_000);
+    expect(limits.find(incarnation)).to.equal(LIMIT);
+    limits.expire(10_000 + START_MS);
+    expect(limits.find(incarnation)).to.equal(undefined);
+  });
+
+  it('guards against a new upstream that can be chosen before its statement counts', () => {
+    const directory = new UpstreamDirectory();
+    const { limits } = createLimits();
+    let isColdWhenListed = false;
+    directory.onListing = (entries, now) => {
+      isColdWhenListed = directory.listReady(service).length === 0;
+      limits.observeListing(entries, now);
+    };
+    const entry = {
+      ...createEntry({ coldRemainingMs: 2_000 }),
+      address: '10.0.0.1:1',
+      isDraining: false,
+    };
+    directory.applyListing([entry], 0, 0);
+    expect(isColdWhenListed).to.equal(true);
+    expect(limits.find(incarnation)).to.equal(LIMIT);
   });
 });
--- a/src/request/rateLimit/coldLimits.ts
+++ b/src/request/rateLimit/coldLimits.ts
@@ -9,8 +9,10 @@
 
 /** A later end within this time is not told to the other gateways: reads of one statement differ by their age. */
 const END_TOLERANCE_MS = 500;
-/** Starts of upstreams that are remembered; one that is listed again after an outage of the store is not new. */
-const MAX_KNOWN_STARTS = 4_000;
+/** Starts that are remembered beyond those listed; one that is listed again after an outage of the store is not new. */
+const MAX_UNLISTED_STARTS = 1_000;
+/** Bounds what other gateways can add. */
+const MAX_COLD_UPSTREAMS = 10_000;
 
 export interface ColdLimitsOptions {
   readonly getService: (service: ServiceId) => ServiceDefinition | undefined;
@@ -23,33 +25,35 @@
 interface ColdUpstream {
   readonly service: ServiceId;
   readonly endsAt: number;
+  /** End as last told to the other gateways. */
+  readonly toldEndsAt: number;
 }
 
+type ToldUpstreams = MessageOf<'coldUpstreams'>['upstreams'];
+
 /**
  * Upstreams that are cold, and the requests per second that they take meanwhile.
  *
- * An upstream states in its entry for how long it stays cold. One that was not listed before counts as cold for the time
- * that its service states, in case its entry says nothing yet. The end is never brought forward: a statement may be old,
- * repeated by a store that is behind, or contradict an earlier one.
+ * An upstream states in its entry for how long it stays cold. One that was not listed before counts as cold for the
+ * time that its service states, in case its entry says nothing yet. The end is never brought forward: a statement may
+ * be old, repeated by a store that is behind, or contradict an earlier one. All times are monotonic: a step of the wall
+ * clock must not end a cold time early.
  */
 export class ColdLimits {
   private readonly cold = new Map<UpstreamIncarnation, ColdUpstream>();
   /** Heartbeat of the last applied statement of each known start. */
   private readonly known = new Map<UpstreamIncarnation, number | undefined>();
-  private observed: readonly UpstreamEntry[] | undefined;
   private hasBaseline = false;
 
   constructor(private readonly options: ColdLimitsOptions) {}
 
   /**
-   * Applies the statements of a listing.
+   * Applies the statements of a listing, before any request can be sent on the strength of it.
    *
-   * @param entries - Current listing; a new array whenever it was read again
-   * @param readStartedAt - When the read was sent, milliseconds
+   * @param entries - Listing
+   * @param now - Current time in milliseconds; statements count from then, as they may be as young as that
    */
-  observeListing(entries: readonly UpstreamEntry[], readStartedAt: number): void {
-    if (entries === this.observed) return;
-    this.observed = entries;
+  observeListing(entries: readonly UpstreamEntry[], now: number): void {
     const extended: UpstreamIncarnation[] = [];
     for (const entry of entries) {
       const incarnation = toIncarnation(entry);
@@ -57,27 +61,41 @@
       this.known.delete(incarnation);
       this.known.set(incarnation, entry.heartbeat);
       if (coldMs === 0) continue;
-      const isLater = this.extend(incarnation, entry.service, readStartedAt + coldMs, 'entry');
+      const isLater = this.extend(incarnation, entry.service, now + coldMs, 'entry');
       // The others learn a new start from the same list.
       if (isLater && isStated) extended.push(incarnation);
     }
     this.hasBaseline ||= entries.length > 0;
     for (const oldest of this.known.keys()) {
-      if (this.known.size <= MAX_KNOWN_STARTS) break;
+      if (this.known.size <= entries.length + MAX_UNLISTED_STARTS) break;
       this.known.delete(oldest);
     }
-    if (extended.length > 0) this.options.broadcast(this.createMessage(extended, readStartedAt));
+    if (extended.length > 0) this.tell(extended, now);
+  }
+
+  /**
+   * Treats upstreams as cold that return to service, for the time that their service states: they may have become cold
+   * since their entries were read.
+   *
+   * @param entries - Upstreams
+   * @param now - Current time in milliseconds
+   */
+  assumeCold(entries: readonly UpstreamEntry[], now: number): void {
+    for (const entry of entries) {
+      const coldMs = this.options.getService(entry.service)?.coldStartMs ?? 0;
+      if (coldMs > 0) this.extend(toIncarnation(entry), entry.service, now + coldMs, 'return');
+    }
   }
 
   /**
    * Applies what another gateway knows.
    *
-   * @param message - Cold upstreams with the time that remains
+   * @param upstreams - Cold upstreams with the time that remained when it was sent
    * @param sender - Process id of the other gateway
    * @param now - Current time in milliseconds
    */
-  receive(message: MessageOf<'coldUpstreams'>, sender: string, now: number): void {
-    for (const { upstream, service, remainingMs } of message.upstreams) {
+  receive(upstreams: ToldUpstreams, sender: string, now: number): void {
+    for (const { upstream, service, remainingMs } of upstreams) {
       const endsAt = now + Math.min(remainingMs, defaults.maxColdMs);
       this.extend(toId<UpstreamIncarnation>(upstream), toId<ServiceId>(service), endsAt, sender);
     }
@@ -90,7 +108,25 @@
    * @returns A message with all cold upstreams, none while all are warm
    */
   createMessages(now: number): Message[] {
-    return this.cold.size === 0 ? [] : [this.createMessage([...this.cold.keys()], now)];
+    return this.cold.size === 0 ? [] : [{ type: 'coldUpstreams', upstreams: this.encode(now) }];
+  }
+
+  /**
+   * Encodes the cold upstreams for other gateways.
+   *
+   * @param now - Current time in milliseconds
+   * @param upstreams - Those to encode, all by default
+   * @returns Upstreams with the time that remains
+   */
+  encode(now: number, upstreams: Iterable<UpstreamIncarnation> = this.cold.keys()): ToldUpstreams {
+    const encoded: ToldUpstreams = [];
+    for (const upstream of upstreams) {
+      const cold = this.cold.get(upstream);
+      if (cold === undefined) continue;
+      const { service, endsAt } = cold;
+      encoded.push({ upstream, service, remainingMs: Math.max(0, endsAt - now) });
+    }
+    return encoded;
   }
 
   /**
@@ -128,6 +164,11 @@
     return this.cold;
   }
 
+  /** False while all upstreams are warm, which spares the look-up for each request. */
+  get hasCold(): boolean {
+    return this.cold.size > 0;
+  }
+
   /**
    * Describes the cold upstreams for the `/dump` endpoint.
    *
@@ -153,7 +194,8 @@
     const statedMs = isRepeated ? 0 : Math.min(entry.coldRemainingMs ?? 0, defaults.maxColdMs);
     const isNewStart = this.hasBaseline && !isKnown;
     const startMs = isNewStart ? (this.options.getService(entry.service)?.coldStartMs ?? 0) : 0;
-    return { coldMs: Math.max(statedMs, startMs), isStated: statedMs > 0 };
+    const coldMs = Math.min(Math.max(statedMs, startMs), defaults.maxColdMs);
+    return { coldMs, isStated: statedMs > 0 };
   }
 
   /** Returns whether the other gateways should be told. */
@@ -163,27 +205,25 @@
     endsAt: number,
     source: string,
   ): boolean {
-    const limit = this.options.getService(service)?.coldRequestsPerSecond ?? 0;
-    if (limit <= 0) return false;
     const known = this.cold.get(upstream);
-    const knownEndsAt = known?.endsAt ?? -Infinity;
-    if (endsAt <= knownEndsAt || !Number.isFinite(endsAt)) return false;
-    this.cold.set(upstream, { service, endsAt });
+    if (endsAt <= (known?.endsAt ?? -Infinity)) return false;
+    if (known === undefined && this.cold.size >= MAX_COLD_UPSTREAMS) return false;
+    const toldEndsAt = known?.toldEndsAt ?? -Infinity;
+    this.cold.set(upstream, { service, endsAt, toldEndsAt });
     if (known === undefined) {
       this.options.metrics.addCount('upstreams_cold');
-      this.options.logger.info({ upstream, source, perSecond: limit }, 'upstream is cold');
+      const perSecond = this.find(upstream);
+      const limit = perSecond === undefined ? {} : { perSecond };
+      this.options.logger.info({ upstream, source, ...limit }, 'upstream is cold');
     }
-    return endsAt > knownEndsAt + END_TOLERANCE_MS;
+    return endsAt > toldEndsAt + END_TOLERANCE_MS;
   }
 
-  private createMessage(upstreams: readonly UpstreamIncarnation[], now: number): Message {
-    const entries: MessageOf<'coldUpstreams'>['upstreams'] = [];
+  private tell(upstreams: readonly UpstreamIncarnation[], now: number): void {
     for (const upstream of upstreams) {
       const cold = this.cold.get(upstream);
-      if (cold === undefined) continue;
-      const { service, endsAt } = cold;
-      entries.push({ upstream, service, remainingMs: Math.max(0, endsAt - now) });
+      if (cold !== undefined) this.cold.set(upstream, { ...cold, toldEndsAt: cold.endsAt });
     }
-    return { type: 'coldUpstreams', upstreams: entries };
+    this.options.broadcast({ type: 'coldUpstreams', upstreams: this.encode(now, upstreams) });
   }
 }
--- a/src/request/rateLimit/rateLimitObserver.ts
+++ b/src/request/rateLimit/rateLimitObserver.ts
@@ -19,6 +19,8 @@
 
 export interface RateLimitObserverOptions {
   readonly records: RateLimitRecords;
+  /** Whether an upstream has a limit because it is cold. */
+  readonly isCold?: (upstream: UpstreamIncarnation) => boolean;
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Called when a response has changed a record, to notify the other gateways. */
@@ -103,8 +105,10 @@
    * @param upstream - Upstream entry
    */
   countSend(upstream: UpstreamEntry): void {
-    const { records } = this.options;
-    if (records.find(toIncarnation(upstream))?.perSecond === undefined) return;
+    const { records, isCold } = this.options;
+    const incarnation = toIncarnation(upstream);
+    const isLimited = records.find(incarnation)?.perSecond !== undefined;
+    if (!isLimited && isCold?.(incarnation) !== true) return;
     this.countUses('sends', [upstream.id]);
   }
 
--- a/src/request/rateLimit/rateLimiter.ts
+++ b/src/request/rateLimit/rateLimiter.ts
@@ -40,7 +40,7 @@
   readonly self: string;
   readonly records: RateLimitRecords;
   /** Limits that apply while an upstream is cold; without them, only stated limits apply. */
-  readonly coldLimits?: Pick<ColdLimits, 'find' | 'list'>;
+  readonly coldLimits?: Pick<ColdLimits, 'find' | 'list' | 'hasCold'>;
   readonly observer: Pick<RateLimitObserver, 'observe'>;
   /** Number of gateways that are known to run, linked or not, including this one. */
   readonly countGateways: () => number;
@@ -74,7 +74,7 @@
 
   /** False while no upstream has a limit, which spares the look-up for each request. */
   get hasLimits(): boolean {
-    return this.options.records.hasLimits || (this.options.coldLimits?.list().size ?? 0) > 0;
+    return this.options.records.hasLimits || this.options.coldLimits?.hasCold === true;
   }
 
   checkPermit(upstream: UpstreamEntry, now: number): PermitState {
@@ -209,10 +209,12 @@
    */
   describe(now: number): Record<string, unknown> {
     const described: Record<string, unknown> = {};
-    for (const [upstream, { perSecond, receivedAt }] of this.options.records.list()) {
+    const { records } = this.options;
+    for (const upstream of new Set([...records.list().keys(), ...this.listLimited()])) {
+      const receivedAt = records.find(upstream)?.receivedAt;
       described[upstream] = {
-        perSecond: perSecond ?? null,
-        statedAgoMs: Math.round(now - receivedAt),
+        perSecond: this.findLimit(upstream) ?? null,
+        statedAgoMs: receivedAt === undefined ? null : Math.round(now - receivedAt),
         issuer: this.choice.getIssuer(upstream) ?? null,
         ...this.pool.describe(upstream, now),
         issuing: this.issuer.describe(upstream) ?? null,
@@ -242,7 +244,10 @@
   }
 
   private listLimited(): UpstreamIncarnation[] {
-    const limited = new Set<UpstreamIncarnation>(this.options.coldLimits?.list().keys());
+    const limited = new Set<UpstreamIncarnation>();
+    for (const upstream of this.options.coldLimits?.list().keys() ?? []) {
+      if (this.findLimit(upstream) !== undefined) limited.add(upstream);
+    }
     for (const [upstream, { perSecond }] of this.options.records.list()) {
       if (perSecond !== undefined) limited.add(upstream);
     }
