fix: no reads of the upstream list while the reader of the store is being asked

Cause: StoreRelay.refresh cleared isServed before it asked the readers. The poll of the upstream list runs beside it, so one that came while a query was under way read the store although the reader served this gateway. Ruled out: load as the only cause; with six idle gateways two such calls came in 30 s at a load average of about 6. Change: isServed changes when the refresh has ended; a failing one still wakes the poll. storeRelay.spec.ts has the case (it failed before). storeReads.spec.ts begins to count when no read of a fallback can be under way, since a fallback counted just before the span would explain none of its calls; its bounds are the same. Also: specs of relayed zones; UpstreamDirectory.isReady, which nobody called and which did not know of evacuated zones, is gone.

--- a/src/process/gateway/peerSnapshots.spec.ts
+++ b/src/process/gateway/peerSnapshots.spec.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai';
 import { Err } from 'ts-results-es';
+import type { AvailabilityZoneId } from '../../ids.js';
+import { toId } from '../../ids.js';
 import { Metrics } from '../metrics.js';
 import { ConfigurationCache } from './configurationCache.js';
 import { PeerSnapshots } from './peerSnapshots.js';
@@ -11,25 +13,31 @@
 const QUERIED_AT_MS = 1_100;
 
 /** Creates the exchange of one gateway at the time of a query. */
-function createSnapshots(storeEra: StoreEra, now = QUERIED_AT_MS): PeerSnapshots {
+function createSnapshots(
+  storeEra: StoreEra,
+  now = QUERIED_AT_MS,
+  onEvacuation = (): void => undefined,
+): { snapshots: PeerSnapshots; evacuations: ZoneEvacuations } {
   const discard = (): void => undefined;
   const logger = { debug: discard, info: discard, warn: discard, error: discard };
   const directory = new UpstreamDirectory();
-  return new PeerSnapshots({
+  const evacuations = new ZoneEvacuations({ directory, logger, metrics: new Metrics() });
+  const snapshots = new PeerSnapshots({
     incarnation: 'r-1',
     metrics: new Metrics(),
     configurationCache: new ConfigurationCache(1_000),
     directory,
-    evacuations: new ZoneEvacuations({ directory, logger, metrics: new Metrics() }),
+    evacuations,
     storeEra,
     source: { decodeDocument: () => Err({ code: 'malformed', message: '' }) },
     logger,
     readClock: () => now,
     readMonotonicClock: () => now,
-    onEvacuation: discard,
+    onEvacuation,
     onConfiguration: discard,
     onUpstreamStarted: discard,
   });
+  return { snapshots, evacuations };
 }
 
 describe('snapshots of peers', () => {
@@ -41,11 +49,46 @@
     const running = new StoreEra();
     running.observe(0, 0);
     running.observe(1, RESTORED_AT_MS);
-    const reply = createSnapshots(started).create(0, true);
-    createSnapshots(running).apply(reply, QUERIED_AT_MS, 'gateway-1');
+    const reply = createSnapshots(started).snapshots.create(0, true);
+    createSnapshots(running).snapshots.apply(reply, QUERIED_AT_MS, 'gateway-1');
     expect(running.isComplete(QUERIED_AT_MS)).to.equal(false);
 
-    const later = createSnapshots(started, RESTORED_AT_MS + 2_200).create(0, true);
+    const later = createSnapshots(started, RESTORED_AT_MS + 2_200).snapshots.create(0, true);
     expect(later).to.include({ era: 1, isEraComplete: true });
   });
+
+  it('guards against evacuated zones of a peer that count as newer than they are, or end on its word too early', () => {
+    const createEra = (era: number): StoreEra => {
+      const storeEra = new StoreEra();
+      storeEra.observe(era, 0);
+      return storeEra;
+    };
+    const read = { era: 0, isComplete: true };
+    const zones = [toId<AvailabilityZoneId>('a')];
+    let changes = 0;
+    const own = createSnapshots(createEra(0), QUERIED_AT_MS, () => (changes += 1));
+    const peer = createSnapshots(createEra(0));
+    peer.evacuations.apply({ ...read, zones, readStartedAt: 800 }, 805, 805);
+    own.snapshots.apply(peer.snapshots.create(0, true), QUERIED_AT_MS, 'gateway-1');
+    expect(own.evacuations.describe(QUERIED_AT_MS)).to.deep.equal({
+      zones: ['a'],
+      ageMs: 300,
+      era: 0,
+    });
+    // The reply of a slow peer rests on a read that was sent before the own one.
+    const slow = createSnapshots(createEra(0));
+    slow.evacuations.apply({ ...read, zones: [], readStartedAt: 700 }, 705, 705);
+    own.snapshots.apply(slow.snapshots.create(0, true), QUERIED_AT_MS, 'gateway-2');
+    expect(own.evacuations.describe(QUERIED_AT_MS)?.zones).to.deep.equal(['a']);
+    // A peer whose store has just been restored cannot know that the zone was taken back.
+    const restored = createSnapshots(createEra(1));
+    restored.evacuations.apply(
+      { era: 1, isComplete: false, zones: [], readStartedAt: 1_000 },
+      0,
+      0,
+    );
+    own.snapshots.apply(restored.snapshots.create(0, true), QUERIED_AT_MS, 'gateway-3');
+    expect(own.evacuations.describe(QUERIED_AT_MS)?.zones).to.deep.equal(['a']);
+    expect(changes).to.equal(1);
+  });
 });
--- a/src/process/gateway/storeRelay.spec.ts
+++ b/src/process/gateway/storeRelay.spec.ts
@@ -25,7 +25,7 @@
 
 describe('store relay', () => {
   /** Creates a relay whose readers have state of the given ages. */
-  const createRelay = (ages: readonly number[], hasState = true) => {
+  const createRelay = (ages: readonly number[], hasState = true, sendsZones = true) => {
     const now = 10_000;
     const asked: string[] = [];
     let ageMs = Infinity;
@@ -37,7 +37,7 @@
         current: hasState ? ({} as never) : undefined,
         computeAge: () => ageMs,
       },
-      evacuations: { computeAge: () => ageMs },
+      evacuations: { computeAge: () => (sendsZones ? ageMs : Infinity) },
       directory: { computeAge: () => ageMs, listAll: () => [{} as never] },
       storeEra: { isConfirmed: () => true },
       readClock: () => now,
@@ -67,6 +67,23 @@
     expect(without.relay.isServed).to.equal(false);
   });
 
+  // The poll of the upstream list runs beside that of the configuration, whose query may be under way.
+  it('guards against reads of the list while a reader that serves this gateway is being asked', async () => {
+    const { relay, asked } = createRelay([600, 600]);
+    await relay.refresh();
+    const refreshing = relay.refresh();
+    expect(asked.length).to.equal(2);
+    expect(relay.isServed).to.equal(true);
+    await refreshing;
+    expect(relay.isServed).to.equal(true);
+  });
+
+  it('guards against relying on a reader of an earlier version, which sends no evacuated zones', async () => {
+    const { relay, asked } = createRelay([300, 300], true, false);
+    expect(await relay.refresh()).to.equal(false);
+    expect(asked.length).to.equal(2);
+  });
+
   it('guards against a first state that rests on a single peer', async () => {
     const { relay, asked } = createRelay([0], false);
     expect(await relay.refresh()).to.equal(false);
--- a/src/process/gateway/storeRelay.ts
+++ b/src/process/gateway/storeRelay.ts
@@ -28,7 +28,7 @@
  * not grow with the number of gateways. A gateway that gets nothing recent from them reads the store itself.
  */
 export class StoreRelay {
-  /** Whether the last refresh succeeded. */
+  /** Whether the last completed refresh succeeded; unchanged while one is under way. */
   isServed = false;
 
   constructor(private readonly options: StoreRelayOptions) {}
@@ -39,16 +39,18 @@
    * @returns False if this gateway has to read the store itself
    */
   async refresh(): Promise<boolean> {
+    this.isServed = await this.askReaders();
+    return this.isServed;
+  }
+
+  private async askReaders(): Promise<boolean> {
     const { self, listLinked, queryGateway } = this.options;
-    this.isServed = false;
     // A process that has just started must not take its first state from a single peer.
     if (!this.hasState()) return false;
     const readers = listReadersToAsk(self, listLinked());
     for (const reader of readers) {
       await queryGateway(reader);
-      if (!this.isRecent()) continue;
-      this.isServed = true;
-      return true;
+      if (this.isRecent()) return true;
     }
     if (readers.length > 0) this.options.metrics.addCount('store_relay_fallbacks');
     return false;
--- a/src/process/gateway/upstreamDirectory.ts
+++ b/src/process/gateway/upstreamDirectory.ts
@@ -96,17 +96,6 @@
     return now - (this.lastReadAt ?? -Infinity);
   }
 
-  /**
-   * Checks whether an upstream is listed, not draining and has not stated that it leaves.
-   *
-   * @param id - Upstream id
-   * @returns False when it is draining, leaving, removed or unknown
-   */
-  isReady(id: UpstreamId): boolean {
-    const entry = this.entries.get(id);
-    return entry?.isDraining === false && !this.leaving.has(entry);
-  }
-
   /**
    * Applies a complete listing; one of an older era, or older than the last applied of the same era, is ignored.
    *
--- a/test/failures/storeReads.spec.ts
+++ b/test/failures/storeReads.spec.ts
@@ -10,6 +10,8 @@
 const MAX_CALLS_PER_READER = 16;
 /** A third of the polls, on a machine that is busy with other processes. */
 const MAX_FALLBACKS = 2;
+/** Time-out of a read of the store, with a margin for its arrival there. */
+const MAX_READ_MS = 700;
 /** Two queries and a failed read, less than two rounds of polls. */
 const ONE_ROUND_MS = 350;
 /** Bound of the smallest deployments on changes of the configuration and on draining upstreams. */
@@ -31,11 +33,23 @@
   const readStates = (from = 0): DumpedState[] =>
     fixture.gateways.slice(from).map((gateway) => gateway.dump() as DumpedState);
   const countCalls = (): number[] => fixture.stores.map(({ calls }) => calls);
+  const countFallbacks = (): number[] =>
+    fixture.gateways.map(({ metrics }) => metrics.getCount('store_relay_fallbacks'));
+  /** Waits until no read of a fallback can be under way, so that none is counted without its fallback. */
+  const waitForQuiet = (): Promise<number> => {
+    let last = countFallbacks();
+    let quietSince = performance.now();
+    return waitUntil('no fallbacks', () => {
+      const current = countFallbacks();
+      if (current.some((count, index) => count !== last[index])) quietSince = performance.now();
+      last = current;
+      return performance.now() - quietSince > MAX_READ_MS;
+    });
+  };
   const findReader = async (): Promise<number> => {
+    await waitForQuiet();
     const before = countCalls();
-    const fallbacksBefore = fixture.gateways.map(({ metrics }) =>
-      metrics.getCount('store_relay_fallbacks'),
-    );
+    const fallbacksBefore = countFallbacks();
     await waitMs(OBSERVED_MS);
     const calls = countCalls().map((count, index) => count - (before[index] ?? 0));
     const reader = calls.indexOf(Math.max(...calls));
