test: room of a gateway after its restart; JSDoc of the queue's parts

Cause: a gateway that has just started runs little, so its share of free room would be close to nothing. The floor of one request between two counts is now tested.

--- a/src/request/admission/refusalFactory.ts
+++ b/src/request/admission/refusalFactory.ts
@@ -30,6 +30,7 @@
     return this.create('expired', 0, 0);
   }
 
+  /** Creates the refusal of a request that no upstream may serve. */
   createNoUpstream(): Refusal {
     return this.create('no_upstream', 0, MIN_RETRY_AFTER_MS * 2);
   }
@@ -58,10 +59,22 @@
     return this.create('overloaded', waitMs, this.assignReturn(request, waitMs, now));
   }
 
+  /**
+   * Creates the refusal of a request whose upstreams all want a pause.
+   *
+   * @param pauseMs - Time until one takes requests again
+   * @returns Refusal
+   */
   createPaused(pauseMs: number): Refusal {
     return this.create('overloaded', pauseMs, addJitter(pauseMs, MAX_PERMIT_RETRY_AFTER_MS));
   }
 
+  /**
+   * Creates the refusal of a request that waits for a permit.
+   *
+   * @param wait - Expected wait and the upstreams with rate limits
+   * @returns Refusal
+   */
   createLimited({ delayMs, upstreams }: PermitWait): Refusal {
     const refusal = this.create(
       'overloaded',
--- a/src/request/admission/serviceLoad.ts
+++ b/src/request/admission/serviceLoad.ts
@@ -31,21 +31,44 @@
   private firstEventMs: number | undefined;
   private firstEventDeviationMs = 0;
 
+  /**
+   * Records a new request. Repeats within the gateway are no demand of their own.
+   *
+   * @param request - Reservation request
+   * @param now - Current time in milliseconds
+   */
   recordArrival(request: ReservationRequest, now: number): void {
     if (request.isRepeat !== true) this.shares.recordArrival(request.priority, now);
   }
 
+  /**
+   * Records a request that has received room.
+   *
+   * @param request - Reservation request
+   * @param line - Line in which it received room
+   * @param now - Current time in milliseconds
+   */
   recordAdmission(request: ReservationRequest, line: Line, now: number): void {
     this.running += 1;
     if (request.isRepeat !== true) this.shares.recordAdmission(request.priority, now);
     if (line === 'second') this.secondLineAdmissions.add(now);
   }
 
+  /**
+   * Records the end of a request that had room.
+   *
+   * @param now - Current time in milliseconds
+   */
   recordRelease(now: number): void {
     this.running = Math.max(0, this.running - 1);
     this.releaseTimes.push(now);
   }
 
+  /**
+   * Records the time from admission to the first event of a stream.
+   *
+   * @param durationMs - Milliseconds
+   */
   recordFirstEvent(durationMs: number): void {
     if (this.firstEventMs === undefined) {
       this.firstEventMs = durationMs;
--- a/src/request/admission/steppingBack.spec.ts
+++ b/src/request/admission/steppingBack.spec.ts
@@ -7,6 +7,7 @@
 import type { WorkspaceId } from '../../ids.js';
 import { toId } from '../../ids.js';
 import { AdmissionQueue } from './admissionQueue.js';
+import { RoomShare } from './roomShare.js';
 import { FairOrder } from './fairOrder.js';
 import type { Refusal, Reservation, ReservationRequest } from './types.js';
 
@@ -210,4 +211,12 @@
     const mean = steadyRunning.reduce((total, count) => total + count, 0) / steadyRunning.length;
     expect(mean).to.be.at.least(400 * 0.95);
   });
+
+  it('guards against a gateway that gets no room after a restart because it runs nothing yet', () => {
+    const share = new RoomShare();
+    let taken = 0;
+    for (let now = 0; now < 1_000; now += 10)
+      if (share.tryTake({ limit: 400, running: 380 }, 1 + taken, now)) taken += 1;
+    expect(taken).to.be.at.least(10);
+  });
 });
--- a/src/request/admission/waitingLines.ts
+++ b/src/request/admission/waitingLines.ts
@@ -35,10 +35,21 @@
     return [...this.entries][Symbol.iterator]();
   }
 
+  /**
+   * Adds a request at its place.
+   *
+   * @param entry - Waiting request
+   */
   add(entry: WaitingRequest): void {
     this.entries.splice(this.listAhead(entry).length, 0, entry);
   }
 
+  /**
+   * Removes a request.
+   *
+   * @param entry - Waiting request
+   * @returns False when it no longer waits
+   */
   remove(entry: WaitingRequest): boolean {
     const index = this.entries.indexOf(entry);
     if (index === -1) return false;
