--- a/bench/benches/copyPlans.ts
+++ b/bench/benches/copyPlans.ts
@@ -15,6 +15,8 @@
 const PLAN_INTERVAL_MS = 80;
 const PERSISTENCE_MS = 3_000;
 const MIN_SAVED_MS = 80;
+/** Changes after a shift whose skew is listed. */
+const REACHABLE_CHANGES = 4;
 /** Share of the overhead of a change during which the group stands still. */
 const STOPPED_SHARE = 0.4;
 /** A pass takes this share longer while a rank copies experts. */
@@ -42,6 +44,11 @@
     ...{ exponent: 1.6, shiftIntervalMs: 4_000, shiftShare: 0.66, selections: 1_000 },
     expertShare: 0.85,
   },
+  ranks_24: {
+    ...{ ranks: 24, layers: 16, experts: 96, slotsPerRank: 5, maxLoadsPerLayer: 2, copyMs: 76.4 },
+    ...{ exponent: 0.94, shiftIntervalMs: 2_500, shiftShare: 0.65, selections: 3_000 },
+    expertShare: 0.85,
+  },
   ranks_32: {
     ...{ ranks: 32, layers: 12, experts: 128, slotsPerRank: 5, maxLoadsPerLayer: 2, copyMs: 36.5 },
     ...{ exponent: 0.82, shiftIntervalMs: 2_400, shiftShare: 0.79, selections: 2_000 },
@@ -86,6 +93,7 @@
       // Yields to pending microtasks between the long computations.
       await Promise.resolve();
       const run = { seed: `${options.seed}/${size}`, model, overheadMs };
+      results[`${size}_reachable`] ??= measureReachable(run);
       results[`${size}_overhead_${overheadMs}`] = {
         never: runGroup(run, () => undefined),
         planned: runGroup(run, createPlanner(run)),
@@ -96,6 +104,37 @@
   return results;
 }
 
+/**
+ * Measures the skew that the slots of a group allow right after a shift of demand.
+ *
+ * @param options - Group, seed and overhead
+ * @returns Lower bound, skew of a plan from the initial placement without limits, and skew after each of the first
+ * changes from the placement of the demand before
+ */
+export function measureReachable({ model, seed, overheadMs }: CopyRunOptions): {
+  readonly bound: number;
+  readonly unlimited: number;
+  readonly by_change: number[];
+} {
+  const demand = new ShiftingDemand({ ...model, seed });
+  const limits = { ...model, overheadMs, stopMs: 0, persistenceMs: PERSISTENCE_MS };
+  const free = { ...limits, copyMs: 0, maxLoadsPerLayer: model.slotsPerRank };
+  const initial = createPlacement(model.layers, model.experts, model.ranks);
+  let placement: GroupPlacement = planCopies(demand.getShares(0), initial, free).placement;
+  const shares = demand.getShares(model.shiftIntervalMs);
+  const byChange: number[] = [];
+  for (let change = 0; change < REACHABLE_CHANGES; change += 1) {
+    const plan = planCopies(shares, placement, limits);
+    byChange.push(plan.skewAfter);
+    placement = plan.placement;
+  }
+  return {
+    bound: computeBound(shares, model),
+    unlimited: planCopies(shares, initial, free).skewAfter,
+    by_change: byChange,
+  };
+}
+
 /**
  * Creates the planner of the rankers with their smoothed demand.
  *
--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -123,6 +123,8 @@
   });
   const startedAt = readClock();
   metrics.recordLatency('map_plan', startedAt - plannedAt);
+  const slowRanks = paces.filter((pace) => pace > 1).length;
+  if (slowRanks > 0) metrics.addCount('map_plan_slow_ranks');
   const isWorthwhile = plan.savedMs >= MIN_SAVED_MS;
   planRate.recordPlan(plannedAt, startedAt, isWorthwhile ? plan.skewAfter : plan.skewBefore);
   if (!isWorthwhile) return false;
@@ -157,7 +159,7 @@
       skewBefore: round(plan.skewBefore),
       skewPlanned: round(plan.skewAfter),
       skewAfter: round(computeSkew(demand.getLoad(), inUse, paces)),
-      slowRanks: paces.filter((pace) => pace > 1).length,
+      slowRanks,
       demand: Math.round(demand.total),
       tookMs: Math.round(tookMs),
       ...durations,
--- a/src/version/placement/copyPlan.ts
+++ b/src/version/placement/copyPlan.ts
@@ -8,6 +8,8 @@
 const PARALLEL_SHARE = 0.25;
 /** Copies of a change that run at the same time in the smallest groups, at least. */
 const MIN_PARALLEL_COPIES = 2;
+/** In the largest groups, at most; cheaper copies make the search for steps long. */
+const MAX_PARALLEL_COPIES = 8;
 
 /** Limits and costs of one change. */
 export interface CopyLimits {
@@ -157,7 +159,7 @@
   const computeSaving = (skew: number): number =>
     (passBefore - computePassFactor(skew, limits)) / passBefore;
   const ranks = placement[0]?.length ?? 0;
-  const parallelCopies = Math.max(MIN_PARALLEL_COPIES, ranks * PARALLEL_SHARE);
+  const parallelCopies = countParallelCopies(ranks);
   const costPerCopyMs = (COPY_SLOWDOWN * limits.copyMs) / parallelCopies;
   const minSaving = costPerCopyMs / limits.persistenceMs;
   const minGain = (minSaving * passBefore) / limits.expertShare;
@@ -196,6 +198,11 @@
   };
 }
 
+/** Counts the copies that lengthen the same passes. */
+function countParallelCopies(ranks: number): number {
+  return Math.min(Math.max(ranks * PARALLEL_SHARE, MIN_PARALLEL_COPIES), MAX_PARALLEL_COPIES);
+}
+
 /** Computes the duration of a pass relative to one with the same load on all ranks. */
 function computePassFactor(skew: number, limits: CopyLimits): number {
   return 1 - limits.expertShare + limits.expertShare * skew;
