test: let the search over 96 ranks be measured over whole series of changes

The test measured only the first change after each shift, which compares at most 66,005 steps without the bound of this part as well, so it did not fail before. Later changes compare more steps. With twenty changes it fails without the bound (136,711 steps of 120,000 allowed) and passes with it.

--- a/src/version/placement/copyPlan.spec.ts
+++ b/src/version/placement/copyPlan.spec.ts
@@ -194,8 +194,8 @@
     });
     let placement: GroupPlacement = createPlacement(16, 384, 96);
     const run = { ...limits, slotsPerRank: 5, maxLoadsPerLayer: 2, copyMs: 76, overheadMs: 400 };
-    for (let shift = 0; shift < 4; shift += 1) {
-      const plan = planCopies(demand.getShares(shift * 2_500), placement, run);
+    for (let change = 0; change < 20; change += 1) {
+      const plan = planCopies(demand.getShares(change * 500), placement, run);
       expect(plan.evaluated).to.be.at.most(120_000);
       placement = plan.placement;
     }
