--- a/src/process/ranker/groupLinks.ts
+++ b/src/process/ranker/groupLinks.ts
@@ -15,6 +15,8 @@
 /** The upstream list and the expert layout change rarely; two coordinators read them. */
 const REFRESH_INTERVAL_MS = 4_000;
 const INITIAL_REFRESH_INTERVAL_MS = 300;
+/** After a loss of power, engines register again over some seconds, and no map changes before all ranks are linked. */
+const INCOMPLETE_REFRESH_INTERVAL_MS = 600;
 
 export interface GroupLinksOptions {
   readonly view: GroupView;
@@ -72,7 +74,7 @@
         }
       }
       const isInitialized = this.layout !== undefined && listing.isOk();
-      const intervalMs = isInitialized ? REFRESH_INTERVAL_MS : INITIAL_REFRESH_INTERVAL_MS;
+      const intervalMs = isInitialized ? this.chooseInterval() : INITIAL_REFRESH_INTERVAL_MS;
       await sleep(intervalMs, undefined, { signal }).catch(() => undefined);
     }
   }
@@ -88,6 +90,11 @@
     this.view.addSelections(rank, epoch, packed, this.layout, performance.now());
   }
 
+  private chooseInterval(): number {
+    const isComplete = this.view.ranks.size >= this.view.size;
+    return isComplete ? REFRESH_INTERVAL_MS : INCOMPLETE_REFRESH_INTERVAL_MS;
+  }
+
   private createRemoteRank(link: PeerLink): RemoteRank {
     return new RemoteRank(link, this.encoder, this.orderTimeout, () => performance.now());
   }
