--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -126,7 +126,8 @@
   const slowRanks = paces.filter((pace) => pace > 1).length;
   if (slowRanks > 0) metrics.addCount('map_plan_slow_ranks');
   const isWorthwhile = plan.savedMs >= MIN_SAVED_MS;
-  planRate.recordPlan(plannedAt, startedAt, isWorthwhile ? plan.skewAfter : plan.skewBefore);
+  const expectedSkew = isWorthwhile ? plan.skewAfter : plan.skewBefore;
+  planRate.recordPlan(plannedAt, startedAt, expectedSkew, isWorthwhile);
   if (!isWorthwhile) return false;
   const epoch = states[0]?.report.epoch ?? 0;
   const version = versions.issue(states);
