--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -110,7 +110,7 @@
     this.evacuations = new ZoneEvacuations({
       directory: this.directory,
       onReturn: (entries, now) => {
-        this.rateLimits.cold.assumeCold(entries, now);
+        this.rateLimits.cold.markCold(entries, now);
       },
       logger,
       metrics: this.metrics,
--- a/src/process/gateway/storeRelay.ts
+++ b/src/process/gateway/storeRelay.ts
@@ -39,11 +39,11 @@
    * @returns False if this gateway has to read the store itself
    */
   async refresh(): Promise<boolean> {
-    this.isServed = await this.askReaders();
+    this.isServed = await this.queryReaders();
     return this.isServed;
   }
 
-  private async askReaders(): Promise<boolean> {
+  private async queryReaders(): Promise<boolean> {
     const { self, listLinked, queryGateway } = this.options;
     // A process that has just started must not take its first state from a single peer.
     if (!this.hasState()) return false;
--- a/src/process/gateway/upstreamDirectory.ts
+++ b/src/process/gateway/upstreamDirectory.ts
@@ -209,7 +209,7 @@
    *
    * @param zones - Availability zones
    */
-  excludeZones(zones: ReadonlySet<AvailabilityZoneId>): void {
+  blockZones(zones: ReadonlySet<AvailabilityZoneId>): void {
     this.excludedZones = zones;
     this.indexByService();
   }
--- a/src/process/gateway/zoneEvacuations.ts
+++ b/src/process/gateway/zoneEvacuations.ts
@@ -19,7 +19,7 @@
 }
 
 export interface ZoneEvacuationsOptions {
-  readonly directory: Pick<UpstreamDirectory, 'excludeZones' | 'listAll'>;
+  readonly directory: Pick<UpstreamDirectory, 'blockZones' | 'listAll'>;
   /** Called with the upstreams that return to service, before they can be chosen. */
   readonly onReturn?: (entries: readonly UpstreamEntry[], now: number) => void;
   readonly logger: Logger;
@@ -101,7 +101,7 @@
       .listAll()
       .filter(({ availabilityZone }) => endedZones.has(availabilityZone));
     this.options.onReturn?.(returning, now);
-    directory.excludeZones(zones);
+    directory.blockZones(zones);
     const countUpstreams = (zone: AvailabilityZoneId): number =>
       directory.listAll().filter(({ availabilityZone }) => availabilityZone === zone).length;
     for (const availabilityZone of started) {
--- a/src/request/rateLimit/coldLimits.spec.ts
+++ b/src/request/rateLimit/coldLimits.spec.ts
@@ -142,7 +142,7 @@
   it('guards against full load on upstreams of a zone that returns to service cold', () => {
     const { limits } = createLimits();
     limits.observeListing([createEntry()], 0);
-    limits.assumeCold([createEntry()], 10_000);
+    limits.markCold([createEntry()], 10_000);
     expect(limits.find(incarnation)).to.equal(LIMIT);
     limits.expire(10_000 + START_MS);
     expect(limits.find(incarnation)).to.equal(undefined);
--- a/src/request/rateLimit/coldLimits.ts
+++ b/src/request/rateLimit/coldLimits.ts
@@ -70,7 +70,7 @@
       if (this.known.size <= entries.length + MAX_UNLISTED_STARTS) break;
       this.known.delete(oldest);
     }
-    if (extended.length > 0) this.tell(extended, now);
+    if (extended.length > 0) this.notifyGateways(extended, now);
   }
 
   /**
@@ -80,7 +80,7 @@
    * @param entries - Upstreams
    * @param now - Current time in milliseconds
    */
-  assumeCold(entries: readonly UpstreamEntry[], now: number): void {
+  markCold(entries: readonly UpstreamEntry[], now: number): void {
     for (const entry of entries) {
       const coldMs = this.options.getService(entry.service)?.coldStartMs ?? 0;
       if (coldMs > 0) this.extend(toIncarnation(entry), entry.service, now + coldMs, 'return');
@@ -219,7 +219,7 @@
     return endsAt > toldEndsAt + END_TOLERANCE_MS;
   }
 
-  private tell(upstreams: readonly UpstreamIncarnation[], now: number): void {
+  private notifyGateways(upstreams: readonly UpstreamIncarnation[], now: number): void {
     for (const upstream of upstreams) {
       const cold = this.cold.get(upstream);
       if (cold !== undefined) this.cold.set(upstream, { ...cold, toldEndsAt: cold.endsAt });
