feat: room of a group by a forecast of its next passes

All ranks of a group make each pass together, so admission counts the group as a whole: one sample a pass, factor on the work for requests, each gateway takes its part of the free room, prompts sent within two passes count as unread. Replaces the pace of each upstream; ruled out: a floor of two requests a rank and a factor on the whole pass, which fits no load but the one it was learned at.

--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -30,6 +30,7 @@
   createStatementTopic,
   peerFeatures,
 } from './peerTopics.js';
+import { createGroupPassObserver } from './groupPassObserver.js';
 import { GatewayRateLimits } from './gatewayRateLimits.js';
 import { discoverGroup } from './groupDiscovery.js';
 import { maintainGroupProbes } from './groupProbing.js';
@@ -125,6 +126,7 @@
       listReady: (service) => this.directory.listReady(service),
       getService: (service) => this.configurationCache.current?.configuration.services.get(service),
       getMaxGapMs: (service) => this.getMaxGapMs(service),
+      groupPassObserver: createGroupPassObserver(logger, this.metrics),
     };
     this.balancer = new UpstreamBalancer(sources, this.rateLimits.limiter);
     this.statements = new UpstreamStatements({
@@ -351,6 +353,7 @@
       gateways: this.peers.size,
       upstreams: this.directory.listAll(),
       loads: this.balancer.describe(now),
+      groups: this.balancer.describeGroups(),
       rateLimits: this.rateLimits.limiter.describe(now),
       refused: this.crashes.describe(now),
       waiting: Object.fromEntries([...this.queues].map(([id, queue]) => [id, queue.length])),
--- a/src/request/admission/groupHealth.ts
+++ b/src/request/admission/groupHealth.ts
@@ -28,6 +28,12 @@
 export class GroupHealth {
   private readonly groupOf = new Map<UpstreamId, string>();
   private readonly states = new Map<string, GroupState>();
+  private changes = 0;
+
+  /** Rises with each change of the group of an upstream. */
+  get revision(): number {
+    return this.changes;
+  }
 
   /**
    * Sets the group of an upstream.
@@ -36,6 +42,7 @@
    * @param group - Name of its group, undefined for an upstream without one
    */
   setGroup(upstream: UpstreamId, group: string | undefined): void {
+    this.changes += 1;
     if (group === undefined) this.groupOf.delete(upstream);
     else this.groupOf.set(upstream, group);
   }
--- a/src/request/admission/peerCounts.ts
+++ b/src/request/admission/peerCounts.ts
@@ -42,6 +42,11 @@
     for (const [upstream, count] of previous.counts) this.add(upstream, -count);
   }
 
+  /** Number of other gateways whose counts are known. */
+  get size(): number {
+    return this.received.size;
+  }
+
   /**
    * Returns the sum of an upstream.
    *
--- a/src/request/admission/types.ts
+++ b/src/request/admission/types.ts
@@ -1,5 +1,6 @@
 import type { ServiceId, UpstreamId, WorkspaceId } from '../../ids.js';
 import type { UpstreamEntry } from '../../version/routing/types.js';
+import type { ObservedPass } from './passForecast.js';
 
 /** A request that needs capacity at an upstream. */
 export interface ReservationRequest {
@@ -47,3 +48,17 @@
   /** Upstreams whose rate limits caused the refusal; empty when it had another cause. */
   readonly rateLimited: readonly UpstreamId[];
 }
+
+/** Room of the available upstreams of a service, over all gateways. */
+export interface ServiceRoom {
+  /** Requests that may run within the pauses that callers accept; `Infinity` without a known limit. */
+  readonly limit: number;
+  readonly running: number;
+}
+
+/** Told about the passes of groups, for metrics and logs. */
+export interface GroupPassObserver {
+  onPass(group: string, pass: ObservedPass): void;
+  /** Called when the room of a group falls below half of its slots, and when it is back. */
+  onRoom(group: string, room: { isLow: boolean; room: number; factor: number }): void;
+}
--- a/src/request/admission/upstreamBalancer.ts
+++ b/src/request/admission/upstreamBalancer.ts
@@ -1,17 +1,22 @@
 import type { AvailabilityZoneId, ServiceId, UpstreamId } from '../../ids.js';
-import type { ServiceDefinition, UpstreamEntry } from '../../version/routing/types.js';
+import type { EngineModel, ServiceDefinition, UpstreamEntry } from '../../version/routing/types.js';
 import type { SendLimiter } from '../rateLimit/types.js';
 import { GroupHealth } from './groupHealth.js';
 import { PeerCounts } from './peerCounts.js';
 import { UpstreamPauses } from './upstreamPauses.js';
-import { PaceEstimator } from './paceEstimator.js';
-import type { Reservation, ReservationRequest } from './types.js';
+import { GroupPasses } from './groupPasses.js';
+import type { GroupDescription } from './groupPasses.js';
+import type { GroupPassObserver, Reservation, ReservationRequest, ServiceRoom } from './types.js';
 
 /** Time without new work after a fault; doubles with each consecutive fault. */
 const FAULT_BACKOFF_MS = 400;
 const MAX_FAULT_BACKOFF_MS = 3_200;
 /** Prefers the local availability zone among equally loaded upstreams; less than the weight of one request. */
 const CROSS_ZONE_LOAD_PENALTY = 0.4;
+/** Upstreams with a higher pace hold up their group; they are chosen while no other has room. */
+const SLOW_PACE = 1.5;
+/** More than the load of any upstream. */
+const SLOW_LOAD_PENALTY = 1_000;
 
 /** Services with more upstreams are sampled. */
 const MIN_SAMPLED_UPSTREAMS = 64;
@@ -58,6 +63,9 @@
   getService(service: ServiceId): ServiceDefinition | undefined;
   /** Maximum gap between events that the streams of a service allow. */
   getMaxGapMs(service: ServiceId): number;
+  /** How much slower than its model an upstream works by what is known of it alone; 1 when unknown. */
+  findPace?(id: UpstreamId, now: number): number;
+  readonly groupPassObserver?: GroupPassObserver;
 }
 
 /** Tracks requests in flight per upstream, including those of other gateways, and selects the upstream of an attempt. */
@@ -66,13 +74,24 @@
   private readonly loads = new Map<UpstreamId, UpstreamLoad>();
   private readonly peerCounts = new PeerCounts();
   private readonly pauses = new UpstreamPauses();
-  /** By group, or by upstream while it is not known to belong to one. */
-  private readonly paces = new Map<string, PaceEstimator>();
+  private readonly passes: GroupPasses;
 
   constructor(
     private readonly sources: BalancerSources,
     private readonly limiter: SendLimiter = noLimits,
-  ) {}
+  ) {
+    this.passes = new GroupPasses(
+      {
+        health: this.health,
+        listReady: (service) => sources.listReady(service),
+        countOwn: (id) => this.loads.get(id)?.localInFlight ?? 0,
+        countOthers: (id, now) => this.peerCounts.getSum(id, now),
+        countGateways: () => this.peerCounts.size + 1,
+        getMaxGapMs: (service) => sources.getMaxGapMs(service),
+      },
+      sources.groupPassObserver,
+    );
+  }
 
   /**
    * Reserves capacity at the least loaded available upstream.
@@ -89,6 +108,9 @@
     const load = this.getLoad(chosen.id);
     load.localInFlight += 1;
     const recordEnd = this.health.recordStart(chosen.id, now);
+    const recordGroupEnd = this.hasEngine(chosen.service)
+      ? this.passes.recordStart(chosen, request.promptTokens ?? 0, now)
+      : undefined;
     let isReleased = false;
     return {
       upstream: chosen,
@@ -98,6 +120,7 @@
         isReleased = true;
         load.localInFlight -= 1;
         recordEnd(endedAt);
+        recordGroupEnd?.();
       },
     };
   }
@@ -217,6 +240,21 @@
     return this.countInFlight(upstream.id, now) >= upstream.slots;
   }
 
+  /**
+   * Measures the room of the available upstreams of a service.
+   *
+   * @param service - Service
+   * @param now - Current time in milliseconds
+   * @returns Requests that may run and that run, over all gateways
+   */
+  measureRoom(service: ServiceId, now: number): ServiceRoom {
+    const engine = this.sources.getService(service)?.engine;
+    if (engine !== undefined) return this.passes.measureRoom(service, engine, now);
+    let running = 0;
+    for (const { id } of this.sources.listReady(service)) running += this.countInFlight(id, now);
+    return { limit: Infinity, running };
+  }
+
   /**
    * Records an attempt that failed because of its upstream, and backs off from the upstream.
    *
@@ -250,7 +288,7 @@
   recordEventGap(upstream: UpstreamEntry, gapMs: number, now: number): void {
     const engine = this.sources.getService(upstream.service)?.engine;
     if (engine === undefined) return;
-    this.getPace(upstream.id).recordPass(gapMs, this.countInFlight(upstream.id, now), engine);
+    this.passes.recordGap(upstream, gapMs, engine, now);
   }
 
   /**
@@ -262,6 +300,7 @@
    */
   applyPeerCounts(peer: string, counts: ReadonlyMap<string, number>, now: number): void {
     this.peerCounts.apply(peer, counts, now);
+    this.passes.invalidate();
   }
 
   /**
@@ -271,6 +310,7 @@
    */
   removePeer(peer: string): void {
     this.peerCounts.remove(peer);
+    this.passes.invalidate();
   }
 
   /**
@@ -289,53 +329,69 @@
    * Describes the balancer for the `/dump` endpoint.
    *
    * @param now - Current time in milliseconds
-   * @returns Load and pace by upstream
+   * @returns Load by upstream
    */
-  describe(now: number): Record<string, { running: number; pace: number; pausedMs: number }> {
-    const described: Record<string, { running: number; pace: number; pausedMs: number }> = {};
+  describe(now: number): Record<string, { running: number; pausedMs: number }> {
+    const described: Record<string, { running: number; pausedMs: number }> = {};
     for (const [id, load] of this.loads) {
       described[id] = {
         running: this.countInFlight(id, now),
-        pace: Math.round(this.getPace(id).currentPace * 100) / 100,
         pausedMs: Math.max(0, Math.round(load.backoffUntil - now)),
       };
     }
     return described;
   }
 
+  /**
+   * Describes the groups of ranks for the `/dump` endpoint.
+   *
+   * @returns Room and forecast by group
+   */
+  describeGroups(): Record<string, GroupDescription> {
+    return this.passes.describe();
+  }
+
   private chooseUpstream(request: ReservationRequest, now: number): Choice {
     const ready = this.sources.listReady(request.service);
+    const engine = this.sources.getService(request.service)?.engine;
+    if (engine !== undefined) this.passes.refresh(request.service, engine, now, ready);
     if (ready.length > MIN_SAMPLED_UPSTREAMS) {
       // Counts of other gateways are late: all would choose the same upstream that is idle by these counts.
-      const choice = this.chooseAmong(drawSample(ready), request, now);
+      const choice = this.chooseAmong(drawSample(ready), request, engine, now);
       if (choice.chosen !== undefined) return choice;
     }
-    return this.chooseAmong(ready, request, now);
+    return this.chooseAmong(ready, request, engine, now);
   }
 
   private chooseAmong(
     upstreams: readonly UpstreamEntry[],
     request: ReservationRequest,
+    engine: EngineModel | undefined,
     now: number,
   ): Choice {
     let chosen: UpstreamEntry | undefined;
     let lowest = Infinity;
     const withoutPermit: Candidate[] = [];
-    const engine = this.sources.getService(request.service)?.engine;
-    const maxGapMs = engine === undefined ? 0 : this.sources.getMaxGapMs(request.service);
+    const { promptTokens = 0 } = request;
     for (const upstream of upstreams) {
       if (request.excluded.has(upstream.id)) continue;
       const load = this.getLoad(upstream.id);
       if (load.backoffUntil > now || !this.health.isAvailable(upstream.id, now)) continue;
       if (this.pauses.computeRemaining(upstream, now) > 0) continue;
       const running = load.localInFlight + this.peerCounts.getSum(upstream.id, now);
-      const limit =
-        engine === undefined
-          ? upstream.slots
-          : this.getPace(upstream.id).computeConcurrencyLimit(maxGapMs, engine);
-      if (running >= limit) continue;
+      if (running >= (engine?.slots ?? upstream.slots)) continue;
+      if (engine !== undefined && !this.passes.hasRoom(upstream, promptTokens, engine, now))
+        continue;
       const isLocalZone = upstream.availabilityZone === this.sources.availabilityZone;
-      const cost = running + (isLocalZone ? 0 : CROSS_ZONE_LOAD_PENALTY) + Math.random();
+      const groupCost =
+        engine === undefined ? 0 : this.passes.computeFill(upstream) * upstream.slots;
+      const isSlow = (this.sources.findPace?.(upstream.id, now) ?? 1) > SLOW_PACE;
+      const cost =
+        running +
+        groupCost +
+        (isLocalZone ? 0 : CROSS_ZONE_LOAD_PENALTY) +
+        (isSlow ? SLOW_LOAD_PENALTY : 0) +
+        Math.random();
       if (this.limiter.checkPermit(upstream, now) === 'missing') {
         withoutPermit.push({ upstream, cost });
         continue;
@@ -353,15 +409,8 @@
     return this.getLoad(id).localInFlight + this.peerCounts.getSum(id, now);
   }
 
-  /** All ranks of a group make each pass together, so they share one pace. */
-  private getPace(id: UpstreamId): PaceEstimator {
-    const key = this.health.findGroup(id) ?? id;
-    let pace = this.paces.get(key);
-    if (pace === undefined) {
-      pace = new PaceEstimator();
-      this.paces.set(key, pace);
-    }
-    return pace;
+  private hasEngine(service: ServiceId): boolean {
+    return this.sources.getService(service)?.engine !== undefined;
   }
 
   private getLoad(id: UpstreamId): UpstreamLoad {
