fix: groups share the load evenly below their room; one state lookup a decision

Cause: requests went to the group with the lower fill by up to seven requests a rank, so each gateway put calm load into one group by its own estimate; and each upstream looked up its group twice. Ruled out: uneven ranks within a group.

--- a/src/process/gateway/groupPassObserver.ts
+++ b/src/process/gateway/groupPassObserver.ts
@@ -12,8 +12,9 @@
 export function createGroupPassObserver(logger: Logger, metrics: Metrics): GroupPassObserver {
   return {
     onPass: (group, { passMs, forecastMs }) => {
-      metrics.recordLatency(`pass.${group}`, passMs);
-      metrics.recordLatency(`pass_forecast.${group}`, forecastMs);
+      const name = group.replace(/[^a-zA-Z0-9]/g, '_');
+      metrics.recordLatency(`pass_${name}`, passMs);
+      metrics.recordLatency(`pass_forecast_${name}`, forecastMs);
       if (passMs > forecastMs) metrics.addCount('passes_over_forecast');
     },
     onRoom: (group, { isLow, room, factor }) => {
--- a/src/request/admission/groupPasses.ts
+++ b/src/request/admission/groupPasses.ts
@@ -10,6 +10,8 @@
 
 /** Age at which the ranks and counts of the groups are read again, unless counts of another gateway arrive before. */
 const REFRESH_INTERVAL_MS = 25;
+/** Age at which they are read again after counts have arrived, which are far older than this. */
+const MIN_REFRESH_INTERVAL_MS = 5;
 /** A group whose room falls below this part of its slots is logged, and again when it is back. */
 const LOW_ROOM_SHARE = 0.5;
 
@@ -47,7 +49,9 @@
 export class GroupPasses {
   private readonly groups = new Map<string, GroupState>();
   private readonly refreshedAt = new Map<ServiceId, number>();
+  private readonly stateOf = new Map<UpstreamId, GroupState>();
   private groupRevision = -1;
+  private hasNewCounts = false;
   private decision = 0;
 
   constructor(
@@ -55,9 +59,9 @@
     private readonly observer: GroupPassObserver | undefined,
   ) {}
 
-  /** Reads the counts again at the next decision. */
+  /** Notes that counts of another gateway have arrived or expired. */
   invalidate(): void {
-    this.refreshedAt.clear();
+    this.hasNewCounts = true;
   }
 
   /**
@@ -76,9 +80,14 @@
   ): void {
     this.decision += 1;
     const { health } = this.sources;
-    if (health.revision !== this.groupRevision) this.invalidate();
+    if (health.revision !== this.groupRevision) {
+      this.refreshedAt.clear();
+      this.stateOf.clear();
+    }
     this.groupRevision = health.revision;
-    if (now - (this.refreshedAt.get(service) ?? -Infinity) < REFRESH_INTERVAL_MS) return;
+    const intervalMs = this.hasNewCounts ? MIN_REFRESH_INTERVAL_MS : REFRESH_INTERVAL_MS;
+    if (now - (this.refreshedAt.get(service) ?? -Infinity) < intervalMs) return;
+    this.hasNewCounts = false;
     this.refreshedAt.set(service, now);
     for (const state of this.groups.values()) {
       if (state.service !== service) continue;
@@ -96,8 +105,10 @@
     const maxGapMs = this.sources.getMaxGapMs(service);
     for (const [group, state] of this.groups) {
       if (state.service !== service) continue;
-      if (state.ranks === 0) this.groups.delete(group);
-      else this.updateGroup(group, state, { maxGapMs, engine, now });
+      if (state.ranks === 0) {
+        this.groups.delete(group);
+        this.stateOf.clear();
+      } else this.updateGroup(group, state, { maxGapMs, engine, now });
     }
   }
 
@@ -257,6 +268,14 @@
   }
 
   private getState(id: UpstreamId, service: ServiceId): GroupState {
+    const known = this.stateOf.get(id);
+    if (known !== undefined) return known;
+    const state = this.findOrCreateState(id, service);
+    this.stateOf.set(id, state);
+    return state;
+  }
+
+  private findOrCreateState(id: UpstreamId, service: ServiceId): GroupState {
     const group = this.findGroup(id);
     let state = this.groups.get(group);
     if (state === undefined) {
--- a/src/request/admission/upstreamBalancer.ts
+++ b/src/request/admission/upstreamBalancer.ts
@@ -375,16 +375,17 @@
     const { promptTokens = 0 } = request;
     for (const upstream of upstreams) {
       if (request.excluded.has(upstream.id)) continue;
+      // First, as one decision for each group is enough.
+      if (engine !== undefined && !this.passes.hasRoom(upstream, promptTokens, engine, now))
+        continue;
       const load = this.getLoad(upstream.id);
       if (load.backoffUntil > now || !this.health.isAvailable(upstream.id, now)) continue;
       if (this.pauses.computeRemaining(upstream, now) > 0) continue;
       const running = load.localInFlight + this.peerCounts.getSum(upstream.id, now);
       if (running >= (engine?.slots ?? upstream.slots)) continue;
-      if (engine !== undefined && !this.passes.hasRoom(upstream, promptTokens, engine, now))
-        continue;
       const isLocalZone = upstream.availabilityZone === this.sources.availabilityZone;
-      const groupCost =
-        engine === undefined ? 0 : this.passes.computeFill(upstream) * upstream.slots;
+      // Less than the weight of one request: groups share the load evenly while they have room.
+      const groupCost = engine === undefined ? 0 : this.passes.computeFill(upstream);
       const isSlow = (this.sources.findPace?.(upstream.id, now) ?? 1) > SLOW_PACE;
       const cost =
         running +
