feat: deputies finish a map change whose coordinator has stopped

Change: the other rankers know the engines of the group (roster from the coordinator), notice in the reports of their own engine that no pass begins while a prepared map is not in use, and go forward: arm the ranks that are not armed, release once all are. Undoing now needs a second rank that holds the pass, so a deputy that releases cannot start it; versions of changes are even and those that replace an undone change odd, so a deputy never arms the latter; an unanswered hold is resent instead of given up, so that no pass is held without arms to follow. Also: reports of rankers were parsed by the schema each time, since the fast validator did not know the fields pace and isLeaving. What this mends is a coordinator whose process is stopped while its engine is reachable.

--- a/bench/proofs/heldMaps.ts
+++ b/bench/proofs/heldMaps.ts
@@ -1,15 +1,25 @@
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import { mock } from 'node:test';
 import seedrandom from 'seedrandom';
+import { Ok } from 'ts-results-es';
 import type { ChangeOutcome, MapChange } from '../../src/process/ranker/changeMap.js';
 import { changeMap } from '../../src/process/ranker/changeMap.js';
-import { resolveHeldPass } from '../../src/process/ranker/resolveHeldPass.js';
+import { finishStalledChange } from '../../src/process/ranker/finishStalledChange.js';
+import { findHolder, resolveHeldPass } from '../../src/process/ranker/resolveHeldPass.js';
+import { StandstillDetector } from '../../src/process/ranker/standstillDetector.js';
 import { GroupView } from '../../src/process/ranker/groupView.js';
+import type { RankOrder, RankReport } from '../../src/process/ranker/types.js';
 import { LockstepGroup } from '../../test/standins/lockstepGroup.js';
 
 const TICK_MS = 10;
 const STATUS_MS = 20;
-const RANKS = 4;
+const DEFAULT_RANKS = 4;
+/** Interval at which rankers other than the coordinator read the report of their engine. */
+const POLL_MS = 70;
+/** Reports of engines on other hosts are up to this old. */
+const REPORT_LAG_MS = 200;
+/** A deputy gives up after this time. */
+const DEPUTY_TIMEOUT_MS = 600;
 /** Longest host freeze reported by users. */
 const FREEZE_MS = 4_000;
 /** Probability of a coordinator freeze per tick while a pass is held. */
@@ -32,6 +42,7 @@
 export interface ScheduleOptions {
   /** The coordinator's host freezes while a pass is held. */
   readonly hasFreezes?: boolean;
+  readonly ranks?: number;
 }
 
 /**
@@ -60,7 +71,7 @@
 async function runSchedule(
   random: () => number,
   strategy: ChangeStrategy,
-  { hasFreezes = false }: ScheduleOptions,
+  { hasFreezes = false, ranks = DEFAULT_RANKS }: ScheduleOptions,
 ): Promise<ScheduleResult> {
   let now = 0;
   const faultRate = random() * 0.5;
@@ -71,8 +82,8 @@
     duplicated: faultRate * 0.2,
   };
   const readClock = (): number => now;
-  const group = new LockstepGroup(RANKS, random, faults, readClock);
-  let view = new GroupView('g', RANKS);
+  const group = new LockstepGroup(ranks, random, faults, readClock);
+  let view = new GroupView('g', ranks);
   let version = 0;
   let changes = 0;
   let switched = 0;
@@ -82,7 +93,7 @@
   let heldSince: number | undefined;
   let longestHoldMs = 0;
   const publishStatus = (): void => {
-    for (let rank = 0; rank < RANKS; rank += 1) {
+    for (let rank = 0; rank < ranks; rank += 1) {
       const report = group.report(rank);
       const experts = [[report.map]];
       const target = view;
@@ -100,27 +111,28 @@
       );
     }
   };
+  const deputies = new Deputies(group, readClock);
   const startChange = async (startGeneration: number): Promise<void> => {
     const context = {
       view,
       readClock,
       firstUnusedPass,
-      unarmedHolds,
       lastUnansweredOrderAt: -Infinity,
     };
     const rankStates = view.listIfComplete(now);
     if (rankStates === undefined) return;
     const firstReport = rankStates[0]?.report;
     if (firstReport === undefined) return;
-    if (firstReport.held !== undefined) {
-      await resolveHeldPass(context, rankStates, firstReport.held);
+    const holder = findHolder(rankStates);
+    if (holder !== undefined) {
+      await resolveHeldPass(context, rankStates, holder.held);
       if (startGeneration === generation) firstUnusedPass = context.firstUnusedPass;
       return;
     }
     if (rankStates.some(({ report }) => report.armed !== undefined)) return;
     for (const { report } of rankStates)
       version = Math.max(version, report.map, report.prepared ?? 0);
-    version += 1;
+    version += version % 2 === 0 ? 2 : 1;
     const newVersion = version;
     const placement = [rankStates.map((_, rank) => [rank, newVersion])];
     changes += 1;
@@ -132,7 +144,6 @@
     if (outcome === 'switched') switched += 1;
   };
   let firstUnusedPass = 0;
-  let unarmedHolds = new Set<string>();
   const faultsEndAt = 12_000;
   const endsAt = 28_000;
   let passBeforeEnd = 0;
@@ -140,6 +151,7 @@
     now += TICK_MS;
     mock.timers.tick(TICK_MS);
     group.run();
+    if (strategy === 'held') deputies.poll(now);
     const isHeld = !group.isIdle && group.ranks[0]?.held === group.pass + 1;
     if (isHeld) heldSince ??= now;
     else heldSince = undefined;
@@ -154,9 +166,8 @@
       if (random() < 0.0005) group.restart();
       if (random() < 0.002) {
         generation += 1;
-        view = new GroupView('g', RANKS);
+        view = new GroupView('g', ranks);
         firstUnusedPass = 0;
-        unarmedHolds = new Set();
         isBusy = false;
         publishStatus();
       }
@@ -181,6 +192,51 @@
   };
 }
 
+/** The rankers beside the other ranks, which finish a change whose coordinator has stopped. */
+class Deputies {
+  private readonly detectors: StandstillDetector[];
+  private readonly history: { readonly at: number; readonly reports: readonly RankReport[] }[] = [];
+  private readonly active = new Set<number>();
+
+  constructor(
+    private readonly group: LockstepGroup,
+    private readonly readClock: () => number,
+  ) {
+    this.detectors = group.ranks.map(() => new StandstillDetector());
+  }
+
+  poll(now: number): void {
+    this.history.push({
+      at: now,
+      reports: this.group.ranks.map((_, rank) => this.group.report(rank)),
+    });
+    if ((this.history[0]?.at ?? now) < now - REPORT_LAG_MS) this.history.shift();
+    for (const [rank, detector] of this.detectors.entries()) {
+      const isDue = (now + rank * TICK_MS) % POLL_MS === 0;
+      if (rank === 0 || !isDue || this.active.has(rank)) continue;
+      const report = this.group.report(rank);
+      if (detector.observe(report, now)) void this.act(rank, report);
+    }
+  }
+
+  private async act(deputy: number, { epoch, pass }: RankReport): Promise<void> {
+    this.active.add(deputy);
+    const deadlineAt = this.readClock() + DEPUTY_TIMEOUT_MS;
+    const engines = this.group.ranks.map((_, rank) => ({
+      readReport: () => Promise.resolve(Ok(this.readReport(rank, deputy))),
+      sendOrder: (order: RankOrder, expected: number) =>
+        this.group.receiveOrder(rank, order, expected),
+    }));
+    await finishStalledChange(engines, epoch, pass, deadlineAt, this.readClock);
+    this.active.delete(deputy);
+  }
+
+  private readReport(rank: number, deputy: number): RankReport {
+    const old = rank === deputy ? undefined : this.history[0]?.reports[rank];
+    return old ?? this.group.report(rank);
+  }
+}
+
 async function runChange(
   strategy: ChangeStrategy,
   context: Parameters<typeof changeMap>[0],
--- a/src/process/ranker/changeMap.spec.ts
+++ b/src/process/ranker/changeMap.spec.ts
@@ -47,7 +47,6 @@
       view,
       readClock: () => now,
       firstUnusedPass: 0,
-      unarmedHolds: new Set<string>(),
       lastUnansweredOrderAt: -Infinity,
     };
     void changeMap(context, { version: 5, epoch: 1, placement }).then((ended) => {
@@ -117,7 +116,6 @@
       view,
       readClock: () => now,
       firstUnusedPass: 0,
-      unarmedHolds: new Set<string>(),
       lastUnansweredOrderAt: -Infinity,
     };
     const outcomes: ChangeOutcome[] = [];
@@ -186,7 +184,6 @@
       view,
       readClock,
       firstUnusedPass: 0,
-      unarmedHolds: new Set<string>(),
       lastUnansweredOrderAt: -Infinity,
     };
     void resolveHeldPass(context, [...view.ranks.values()], pass);
--- a/src/process/ranker/changeMap.ts
+++ b/src/process/ranker/changeMap.ts
@@ -1,6 +1,7 @@
 import type { ChangeTimer } from './changeTimer.js';
 import type { GroupView, RankState } from './groupView.js';
 import type { OrderOutcome, RankOrder, RankReport } from './types.js';
+import { getReplacingVersion } from './versionSource.js';
 
 /** Minimum time between two sends of an order to a rank; a link hop and a local call take about 8 ms. */
 const RESEND_INTERVAL_MS = 60;
@@ -28,6 +29,8 @@
 const UNRELIABLE_PERIOD_MS = 8_000;
 /** The group may begin the chosen pass before the hold takes effect; the next attempt names a later pass. */
 const MAX_HOLD_ATTEMPTS = 6;
+/** An engine that does not answer for this long is about to break its group. */
+const HOLD_TIMEOUT_MS = 1_500;
 
 export type ChangeOutcome =
   'switched' | 'not_prepared' | 'not_held' | 'undone' | 'epoch_changed' | 'idle';
@@ -44,8 +47,6 @@
   readonly readClock: () => number;
   /** Lowest pass that no earlier change has named; a late order of an earlier change must not match a new one. */
   firstUnusedPass: number;
-  /** Holds of this coordinator that remained unanswered, by epoch and pass; no rank was armed for these. */
-  readonly unarmedHolds: Set<string>;
   /** Time at which an order last remained unanswered. */
   lastUnansweredOrderAt: number;
   /** Estimated time from the hold to the release of a pass; undefined until measured. */
@@ -61,6 +62,9 @@
  * is known to be armed, or when every rank is known not to be armed and no late order can arm it any more. A lost, late
  * or duplicated order can therefore stall the group for a while, but cannot make it begin a pass with two maps.
  *
+ * A deputy may arm the ranks and release the pass as well (see `finishStalledChange`), so a change whose pass is held is
+ * undone only while another rank holds the pass too.
+ *
  * @param context - Ranks and clock
  * @param change - New map
  * @returns How the change ended
@@ -107,18 +111,16 @@
     context,
     epoch,
     { kind: 'arm', version, pass },
-    (report) => report.armed?.version === version && report.armed.pass === pass,
+    (report) => isArmedFor(report, version, pass) || report.map === version,
     ARM_TIMEOUT_MS,
   );
   if (armed === 'epoch') return 'epoch_changed';
   if (armed !== 'confirmed') {
-    const undone = await rollBackArming(context, version, epoch);
-    if (!undone) return 'epoch_changed';
-    await releasePass(context, epoch, pass);
-    return 'undone';
+    const end = await undoChange(context, version, epoch, pass);
+    if (end !== 'begun') return end;
   }
   context.timer?.markStep('armed', context.readClock());
-  await releasePass(context, epoch, pass);
+  await releasePass(context, 0, epoch, pass);
   if (change.heldAt !== undefined) recordArmTime(context, context.readClock() - change.heldAt);
   const heldPassDueAt = context.view.passClock.estimateStart(pass);
   if (heldPassDueAt !== undefined) context.timer?.recordWait(context.readClock() - heldPassDueAt);
@@ -138,25 +140,82 @@
 }
 
 /**
- * Releases a held pass at the coordinator's local rank.
+ * Releases a held pass at one rank.
  *
  * @param context - Ranks and clock
+ * @param rank - Rank that holds the pass
  * @param epoch - Epoch of the hold
  * @param pass - Held pass
  */
 export async function releasePass(
   context: ChangeContext,
+  rank: number,
   epoch: number,
   pass: number,
 ): Promise<void> {
   for (;;) {
-    const localState = context.view.ranks.get(0);
-    if (localState?.report.epoch !== epoch) return;
-    const outcome = await sendOrder(context, localState, { kind: 'release', pass }, epoch);
+    const state = context.view.ranks.get(rank);
+    if (state?.report.epoch !== epoch) {
+      if (rank === 0 || context.view.ranks.get(0)?.report.epoch !== epoch) return;
+      await context.view.waitForStatus(RESEND_INTERVAL_MS);
+      continue;
+    }
+    const outcome = await sendOrder(context, state, { kind: 'release', pass }, epoch);
     if (outcome !== 'unknown') return;
   }
 }
 
+/**
+ * Undoes a change whose pass is held at the local rank. A deputy may find all ranks armed and release that pass at any
+ * time, so another rank holds it as well before the first rank is disarmed.
+ *
+ * @param context - Ranks and clock
+ * @param version - Highest version for which an order to arm may be in flight
+ * @param epoch - Epoch of the group
+ * @param pass - Held pass
+ * @returns `begun` if the pass has begun, so that all ranks have switched
+ */
+export async function undoChange(
+  context: ChangeContext,
+  version: number,
+  epoch: number,
+  pass: number,
+): Promise<'undone' | 'epoch_changed' | 'begun'> {
+  const guard = await holdElsewhere(context, epoch, pass);
+  if (typeof guard === 'string') return guard;
+  const undone = await rollBackArming(context, version, epoch);
+  if (!undone) return 'epoch_changed';
+  for (const { report } of [...context.view.ranks.values()]) {
+    const isHolder = report.rank === guard || report.held === pass;
+    if (isHolder && report.rank !== 0) await releasePass(context, report.rank, epoch, pass);
+  }
+  await releasePass(context, 0, epoch, pass);
+  return 'undone';
+}
+
+/** Holds a pass at a rank other than the local one. */
+async function holdElsewhere(
+  context: ChangeContext,
+  epoch: number,
+  pass: number,
+): Promise<number | 'begun' | 'epoch_changed'> {
+  const { view } = context;
+  if (view.size === 1) return 0;
+  for (;;) {
+    for (const state of [...view.ranks.values()].sort((a, b) => a.report.rank - b.report.rank)) {
+      const local = view.ranks.get(0)?.report;
+      if (local?.epoch !== epoch || !local.isOpen) return 'epoch_changed';
+      if (local.pass >= pass) return 'begun';
+      const { report } = state;
+      if (report.rank === 0 || report.epoch !== epoch) continue;
+      if (report.held === pass) return report.rank;
+      const outcome = await sendOrder(context, state, { kind: 'hold', pass }, epoch);
+      if (outcome === 'done' || outcome === 'begun') return report.rank;
+    }
+    await view.waitForStatus(RESEND_INTERVAL_MS);
+  }
+}
+
 async function holdPass(context: ChangeContext, epoch: number): Promise<number | undefined> {
   const isReliable =
     context.armMs !== undefined ||
@@ -167,19 +226,32 @@
     if (localState?.report.epoch !== epoch) return undefined;
     const pass = Math.max(choosePass(context, localState.report, lead), context.firstUnusedPass);
     context.firstUnusedPass = pass + 1;
-    const outcome = await sendOrder(context, localState, { kind: 'hold', pass }, epoch);
+    const outcome = await holdLocally(context, epoch, pass);
     if (outcome === 'done' || outcome === 'begun') return pass;
-    // An unanswered hold may have taken effect or may still do so; the coordinator releases a pass that it finds held
-    // later.
-    if (outcome === 'unknown') {
-      context.unarmedHolds.add(`${epoch}/${pass}`);
-      return undefined;
-    }
+    if (outcome === 'unknown') return undefined;
     lead += 1;
   }
   return undefined;
 }
 
+/**
+ * Sends an order to hold a pass until it is answered. An unanswered one may have taken effect or may still do so, and a
+ * deputy that finds the pass held completes the change, so no other pass is tried before.
+ */
+async function holdLocally(
+  context: ChangeContext,
+  epoch: number,
+  pass: number,
+): Promise<OrderOutcome> {
+  const deadlineAt = context.readClock() + HOLD_TIMEOUT_MS;
+  for (;;) {
+    const localState = context.view.ranks.get(0);
+    if (localState?.report.epoch !== epoch) return 'refused';
+    const outcome = await sendOrder(context, localState, { kind: 'hold', pass }, epoch);
+    if (outcome !== 'unknown' || context.readClock() >= deadlineAt) return outcome;
+  }
+}
+
 /** Chooses a pass that the group does not reach before all ranks are armed and the pass is released. */
 function choosePass(context: ChangeContext, report: RankReport, lead: number): number {
   const now = context.readClock();
@@ -277,6 +349,7 @@
   epoch: number,
 ): Promise<boolean> {
   const { view } = context;
+  const replacingVersion = getReplacingVersion(version);
   const inFlight = new Set<number>();
   const send = (state: RankState, order: RankOrder): void => {
     const { rank } = state.report;
@@ -294,7 +367,7 @@
       if (armed !== undefined) {
         send(state, { kind: 'disarm', version: armed.version });
       } else if ((prepared ?? 0) <= version && placement !== undefined) {
-        send(state, { kind: 'prepare', version: version + 1, placement });
+        send(state, { kind: 'prepare', version: replacingVersion, placement });
       } else continue;
       isRolledBack = false;
     }
@@ -303,6 +376,18 @@
   }
 }
 
+/**
+ * Checks whether a rank is armed for a pass.
+ *
+ * @param report - Report of the rank
+ * @param version - Version of the map
+ * @param pass - Pass before which the rank switches
+ * @returns True if it switches to this version before this pass
+ */
+export function isArmedFor({ armed }: RankReport, version: number, pass: number): boolean {
+  return armed?.version === version && armed.pass === pass;
+}
+
 function hasOtherEpoch(states: readonly RankState[], epoch: number): boolean {
   return states.some(({ report }) => report.epoch !== epoch || !report.isOpen);
 }
--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -10,7 +10,7 @@
 import { listPaces } from './rankPaces.js';
 import type { GroupView, RankState } from './groupView.js';
 import { PlanRate } from './planRate.js';
-import { resolveHeldPass } from './resolveHeldPass.js';
+import { findHolder, resolveHeldPass } from './resolveHeldPass.js';
 import type { ExpertLayout } from './types.js';
 import { VersionSource } from './versionSource.js';
 
@@ -53,7 +53,6 @@
     view,
     readClock,
     firstUnusedPass: 0,
-    unarmedHolds: new Set(),
     lastUnansweredOrderAt: -Infinity,
   };
   const history: ChangeHistory = {
@@ -83,11 +82,17 @@
   context: ChangeContext,
   states: readonly RankState[],
 ): Promise<boolean> {
-  const report = states[0]?.report;
-  if (report?.held === undefined) return false;
+  const report = findHolder(states);
+  if (report === undefined) return false;
   const isComplete = await resolveHeldPass(context, states, report.held);
   options.logger.warn(
-    { group: report.group, pass: report.held, version: report.prepared ?? 0, isComplete },
+    {
+      group: report.group,
+      rank: report.rank,
+      pass: report.held,
+      version: report.prepared ?? 0,
+      isComplete,
+    },
     'resolved a pass held by an earlier order',
   );
   return true;
--- a/src/process/ranker/groupLinks.ts
+++ b/src/process/ranker/groupLinks.ts
@@ -6,6 +6,7 @@
 import type { Metrics } from '../metrics.js';
 import type { RankerSettings } from '../settings/rankerSettings.js';
 import { computeCopyMs } from './changeCosts.js';
+import { GroupRoster } from './groupRoster.js';
 import type { GroupView } from './groupView.js';
 import { OrderTimeout } from './orderTimeout.js';
 import { RemoteRank, SharedPlacementEncoder } from './remoteRankOrders.js';
@@ -34,12 +35,14 @@
   /** Expert layout of the model, when known. */
   layout: ExpertLayout | undefined;
   private readonly addresses = new Set<string>();
+  private readonly roster: GroupRoster;
   private readonly encoder = new SharedPlacementEncoder();
   private readonly orderTimeout: OrderTimeout;
 
   constructor(private readonly options: GroupLinksOptions) {
     this.view = options.view;
     this.orderTimeout = new OrderTimeout(options.view.size);
+    this.roster = new GroupRoster(options.view.group, options.view.size);
   }
 
   /** Refreshes the expert layout and connects to the rankers of the group until aborted. */
@@ -104,6 +107,7 @@
     const { host } = parseAddress(engineAddress);
     const localAddress = parseAddress(settings.linkAddress);
     const address = `${host}:${localAddress.port}`;
+    if (host === localAddress.host) this.roster.setEngine(0, engineAddress);
     if (host === localAddress.host || this.addresses.has(address)) return;
     this.addresses.add(address);
     const controller = new AbortController();
@@ -120,11 +124,13 @@
             return;
           }
           linkedRank = message.report.rank;
+          this.roster.setEngine(linkedRank, engineAddress);
+          this.roster.sendTo(link);
           const remote = remoteRanks.get(link) ?? this.createRemoteRank(link);
           remoteRanks.set(link, remote);
-          const { prepared, armed, held, pace = 1, ...report } = message.report;
+          const { prepared, armed, held, isLeaving = false, pace = 1, ...report } = message.report;
           this.view.applyStatus(
-            { ...message, report: { ...report, prepared, armed, held, pace } },
+            { ...message, report: { ...report, isLeaving, prepared, armed, held, pace } },
             (order, epoch) => remote.sendOrder(order, epoch),
             performance.now(),
           );
--- a/src/process/ranker/largeGroup.spec.ts
+++ b/src/process/ranker/largeGroup.spec.ts
@@ -87,7 +87,6 @@
         view,
         readClock,
         firstUnusedPass: 0,
-        unarmedHolds: new Set<string>(),
         lastUnansweredOrderAt: -Infinity,
       };
       const outcomes: ChangeOutcome[] = [];
--- a/src/process/ranker/rankerDaemon.spec.ts
+++ b/src/process/ranker/rankerDaemon.spec.ts
@@ -58,7 +58,12 @@
         storeAddress: '127.0.0.1:1',
         engineAddress: '127.0.0.1:1',
       },
-      { engine, source, logger: createLogger('ranker-0') },
+      {
+        engine,
+        connectEngine: () => ({ ...engine, close: () => undefined }),
+        source,
+        logger: createLogger('ranker-0'),
+      },
     );
     await daemon.start();
     try {
--- a/src/process/ranker/rankerDaemon.ts
+++ b/src/process/ranker/rankerDaemon.ts
@@ -11,11 +11,14 @@
 import { startMetricsServer } from '../metricsServer.js';
 import type { RankerSettings } from '../settings/rankerSettings.js';
 import { coordinateGroup } from './coordinator.js';
+import { finishStalledChange } from './finishStalledChange.js';
 import { GroupLinks } from './groupLinks.js';
+import { ROSTER_FEATURE } from './groupRoster.js';
 import { GroupView } from './groupView.js';
 import { RankOrderDecoder } from './remoteRankOrders.js';
 import { SelectionReporter } from './selectionReporter.js';
-import type { OrderOutcome, RankEngine, RankOrder, RankReport } from './types.js';
+import { isChangePending, StandstillDetector } from './standstillDetector.js';
+import type { OrderOutcome, RankEngine, RankOrder, RankReport, RemoteEngine } from './types.js';
 
 const POLL_INTERVAL_MS = 140;
 /** A status without changes is sent this long after the last message; the coordinator drops a rank after 700 ms. */
@@ -24,6 +27,8 @@
 const REPORT_INTERVAL_MS = 420;
 /** Used while a copy or, at the coordinator, a switch is pending: detecting its end promptly shortens the change. */
 const FAST_POLL_INTERVAL_MS = 20;
+/** Used while a prepared map is not in use yet, so that a standstill of the group is noticed. */
+const PENDING_POLL_INTERVAL_MS = 70;
 /** Upper bound on the copy time of one change. */
 const FAST_POLL_AFTER_PREPARE_MS = 1_500;
 /** Reports are read on every poll for this long after an order, so that the switch is seen. */
@@ -41,8 +46,15 @@
   release: FAST_POLL_AFTER_RELEASE_MS,
 };
 
+/** A deputy gives up after this time. */
+const DEPUTY_TIMEOUT_MS = 600;
+/** Time until a deputy acts again on a group that still stands still; reads on other hosts cost their engines time. */
+const DEPUTY_REPEAT_MS = 500;
+
 export interface RankerDependencies {
   readonly engine: RankEngine;
+  /** Opens a connection to the engine of another rank. */
+  readonly connectEngine: (address: string) => RemoteEngine;
   readonly source: ConfigurationSource;
   readonly logger: Logger;
 }
@@ -63,6 +75,10 @@
   private sentMapKey: string | undefined;
   private sentStatusKey: string | undefined;
   private statusSentAt = -Infinity;
+  private readonly standstill = new StandstillDetector();
+  /** Addresses of the engines of the group by rank, as told by the coordinator. */
+  private engineAddresses: readonly string[] = [];
+  private nextDeputyAt = -Infinity;
   /** Set at the coordinator. */
   private groupLinks: GroupLinks | undefined;
   private endPollDelay: () => void = () => undefined;
@@ -81,6 +97,9 @@
         rankOrder: (message, link) => {
           void this.executeOrder(message, link);
         },
+        groupRoster: ({ engines }) => {
+          this.engineAddresses = engines;
+        },
       },
       onLink: (link) => {
         this.addCoordinator(link);
@@ -133,7 +152,11 @@
     let reportedAt = -Infinity;
     while (!this.stopController.signal.aborted) {
       const now = performance.now();
-      const mayReuseReport = last !== undefined && last.rank !== 0 && now >= this.uncachedUntil;
+      const mayReuseReport =
+        last !== undefined &&
+        last.rank !== 0 &&
+        now >= this.uncachedUntil &&
+        !isChangePending(last);
       if (!mayReuseReport || now - reportedAt >= REPORT_INTERVAL_MS) {
         const read = await engine.readReport();
         last = read.isOk() ? read.value : undefined;
@@ -144,11 +167,39 @@
           else this.dependencies.logger.info({}, 'regained the engine');
         }
       }
-      if (last !== undefined) await this.publishReport(last, now);
-      await this.waitForNextPoll(performance.now());
+      if (last !== undefined) {
+        if (this.standstill.observe(last, now)) void this.finishStalledChange(last);
+        await this.publishReport(last, now);
+      }
+      const isPending = last !== undefined && isChangePending(last);
+      await this.waitForNextPoll(
+        performance.now(),
+        isPending ? PENDING_POLL_INTERVAL_MS : POLL_INTERVAL_MS,
+      );
     }
   }
 
+  /** Acts for a coordinator that has stopped while a pass is held. */
+  private async finishStalledChange({ group, epoch, pass, rank, size }: RankReport): Promise<void> {
+    const { engine, connectEngine, logger } = this.dependencies;
+    const startedAt = performance.now();
+    if (startedAt < this.nextDeputyAt || this.engineAddresses.length !== size) return;
+    this.nextDeputyAt = Infinity;
+    const remotes = this.engineAddresses.map((address) => connectEngine(address));
+    const engines = remotes.map((remote, index) => (index === rank ? engine : remote));
+    const deadlineAt = startedAt + DEPUTY_TIMEOUT_MS;
+    const readClock = (): number => performance.now();
+    const { end, unread } = await finishStalledChange(engines, epoch, pass, deadlineAt, readClock);
+    for (const remote of remotes) remote.close();
+    this.nextDeputyAt = performance.now() + DEPUTY_REPEAT_MS;
+    const tookMs = Math.round(performance.now() - startedAt);
+    logger.warn(
+      { group, epoch, pass, end, unread: unread.join(), tookMs },
+      'acted for the coordinator of a stalled group',
+    );
+    this.metrics.addCount(`deputy_${end}`);
+  }
+
   private async publishReport(report: RankReport, now: number): Promise<void> {
     if (this.preparingVersion !== undefined && report.prepared === this.preparingVersion) {
       this.preparingVersion = undefined;
@@ -258,8 +309,8 @@
     });
   }
 
-  private waitForNextPoll(now: number): Promise<void> {
-    const delayMs = now < this.fastPollUntil ? FAST_POLL_INTERVAL_MS : POLL_INTERVAL_MS;
+  private waitForNextPoll(now: number, intervalMs: number): Promise<void> {
+    const delayMs = now < this.fastPollUntil ? FAST_POLL_INTERVAL_MS : intervalMs;
     return new Promise((resolve) => {
       const timer = setTimeout(resolve, delayMs);
       this.endPollDelay = () => {
@@ -279,6 +330,7 @@
       host: this.settings.linkAddress,
       availabilityZone: this.settings.availabilityZone,
       upstreams: [],
+      features: [ROSTER_FEATURE],
     };
   }
 }
--- a/src/process/ranker/resolveHeldPass.ts
+++ b/src/process/ranker/resolveHeldPass.ts
@@ -1,8 +1,23 @@
 import type { ChangeContext } from './changeMap.js';
-import { completeHeldChange, releasePass, rollBackArming } from './changeMap.js';
+import { completeHeldChange, isArmedFor, releasePass, undoChange } from './changeMap.js';
 import type { RankState } from './groupView.js';
 import type { RankReport } from './types.js';
 
+/**
+ * Finds a rank that holds a pass.
+ *
+ * @param states - All ranks
+ * @returns Report of the lowest such rank, undefined if there is none
+ */
+export function findHolder(
+  states: readonly RankState[],
+): (RankReport & { readonly held: number }) | undefined {
+  for (const { report } of states) {
+    if (report.held !== undefined) return { ...report, held: report.held };
+  }
+  return undefined;
+}
+
 /**
  * Completes or undoes the change for which a pass is held, and releases the pass. The change may be that of an earlier
  * coordinator, whose orders may still be in flight.
@@ -18,28 +33,25 @@
   pass: number,
 ): Promise<boolean> {
   const { epoch = 0, prepared: version } = states[0]?.report ?? {};
-  const isComplete = version !== undefined && isArmedForPass(states, version, pass);
-  if (context.unarmedHolds.has(`${epoch}/${pass}`) || isArmedForOtherPass(states, pass)) {
-    await releasePass(context, epoch, pass);
+  // Another rank holds the pass from before the first order to disarm until the change is undone.
+  const isBeingUndone = states.some(({ report: { rank, held } }) => rank !== 0 && held === pass);
+  const isComplete =
+    !isBeingUndone &&
+    version !== undefined &&
+    states.every(({ report }) => isArmedFor(report, version, pass));
+  if (!isBeingUndone && isArmedForOtherPass(states, pass)) {
+    await releasePass(context, 0, epoch, pass);
   } else if (isComplete) {
     await completeHeldChange(context, { version, epoch, pass });
   } else {
     // Some ranks may be armed, and a late order may still arm others.
     const highest = Math.max(...states.map(({ report }) => findHighestVersion(report)));
-    if (await rollBackArming(context, highest, epoch)) await releasePass(context, epoch, pass);
+    await undoChange(context, highest, epoch, pass);
   }
   context.firstUnusedPass = Math.max(context.firstUnusedPass, pass + 1);
   return isComplete;
 }
 
-/**
- * Whether all ranks are armed for the held pass, so that an order to release it may be in flight. Ranks that are not armed
- * must not be: if the earlier coordinator has begun to undo the change, a late order may disarm them again.
- */
-function isArmedForPass(states: readonly RankState[], version: number, pass: number): boolean {
-  return states.every(({ report: { armed } }) => armed?.version === version && armed.pass === pass);
-}
-
 /** Whether a change is complete for another pass, so that the hold is a late order of an earlier attempt. */
 function isArmedForOtherPass(states: readonly RankState[], pass: number): boolean {
   const first = states[0]?.report.armed;
--- a/src/process/ranker/types.ts
+++ b/src/process/ranker/types.ts
@@ -80,3 +80,8 @@
   /** The rank refuses an order of another epoch. */
   sendOrder(order: RankOrder, epoch: number): Promise<OrderOutcome>;
 }
+
+/** The engine of another rank, reached over the network. */
+export interface RemoteEngine extends Pick<RankEngine, 'readReport' | 'sendOrder'> {
+  close(): void;
+}
--- a/src/protocol/hotPathValidators.ts
+++ b/src/protocol/hotPathValidators.ts
@@ -106,7 +106,7 @@
   'running',
   'queued',
 ] as const;
-const optionalReportFields = ['prepared', 'armed', 'held'] as const;
+const optionalReportFields = ['isLeaving', 'prepared', 'armed', 'held', 'pace'] as const;
 const REQUIRED_REPORT_FIELDS = requiredReportCounts.length + 2;
 
 function isRankReport(value: unknown): boolean {
@@ -118,7 +118,9 @@
     countFields(value) === fields &&
     isOptionalCount(value.prepared) &&
     isOptionalCount(value.held) &&
-    isArming(value.armed)
+    isArming(value.armed) &&
+    (value.isLeaving === undefined || typeof value.isLeaving === 'boolean') &&
+    (value.pace === undefined || (Number.isFinite(value.pace) && Number(value.pace) > 0))
   );
 }
 
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -349,6 +349,7 @@
     rank: count,
     size: count,
     isOpen: z.boolean(),
+    isLeaving: z.boolean().optional(),
     startedAt: count,
     pass: count,
     map: count,
@@ -400,6 +401,14 @@
   outcome: z.enum(['begun', 'done', 'refused', 'unknown']),
 });
 
+/** Coordinator to rankers: where the engines of the group are, for a deputy that finishes a stalled change. */
+const groupRoster = z.object({
+  type: z.literal('groupRoster'),
+  group: id,
+  /** Addresses by rank. */
+  engines: z.array(id),
+});
+
 const messageSchemas = {
   hello,
   ping,
@@ -437,6 +446,7 @@
   rankSelections,
   rankOrder,
   rankOrderReply,
+  groupRoster,
 } as const;
 
 /** Schemas by message type. */
