feat: maps by what they buy; release rate of a fresh gateway; links of a coordinator sooner

Change: a change has to save 3 in 100 of the pass time, and up to 25 in 100 more the further passes stay below the allowed gap, which the configuration states (changeWorth.ts); computeMaxGaps moved from the gateway to version/routing.

A coordinator looks for missing ranks after 0.1, 0.15, 0.23 s and so on up to 0.6 s, instead of 0.3 or 0.6 s.

--- a/src/process/gateway/configurationCache.ts
+++ b/src/process/gateway/configurationCache.ts
@@ -1,5 +1,6 @@
 import type { RoutingConfiguration, Workspace } from '../../version/routing/types.js';
 import type { ServiceId } from '../../ids.js';
+import { computeMaxGaps } from '../../version/routing/maxGaps.js';
 import { RouteTable } from '../../version/routing/routeTable.js';
 
 /** A configuration version together with its route table. */
@@ -95,14 +96,3 @@
     return this.held?.configuration.workspaceByKey?.get(key);
   }
 }
-
-function computeMaxGaps({ routes }: RoutingConfiguration): Map<ServiceId, number> {
-  const gapsMs = new Map<ServiceId, number>();
-  for (const { eventGapTargetMs, shares } of routes) {
-    if (eventGapTargetMs <= 0) continue;
-    for (const { service } of shares) {
-      gapsMs.set(service, Math.min(gapsMs.get(service) ?? Infinity, eventGapTargetMs));
-    }
-  }
-  return gapsMs;
-}
--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -5,6 +5,7 @@
 import { ChangeOverhead } from './changeCosts.js';
 import type { ChangeContext } from './changeMap.js';
 import { changeMap } from './changeMap.js';
+import { isChangeWorthwhile } from './changeWorth.js';
 import { ChangeTimer } from './changeTimer.js';
 import { computeSkew } from './computeSkew.js';
 import { listPaces } from './rankPaces.js';
@@ -16,8 +17,6 @@
 
 /** Demand shifts to other experts every 2.4 to 4 s. */
 const PERSISTENCE_MS = 3_000;
-/** A change that saves less pass time is not worth its orders and the next change that it delays. */
-const MIN_SAVED_MS = 80;
 /** Expert selections required before planning; with fewer, chance determines which expert appears popular. */
 const MIN_SELECTIONS = 6_000;
 /** Interval between two checks of the group while no change is in progress. */
@@ -60,9 +59,11 @@
     planRate: new PlanRate(),
     overhead: new ChangeOverhead(),
   };
+  let wasComplete = false;
   while (!signal.aborted) {
     const states = view.listIfComplete(readClock());
     const layout = options.getLayout();
+    wasComplete = logCompleteness(options, wasComplete, states !== undefined);
     if (states === undefined || layout === undefined) {
       await sleep(IDLE_POLL_INTERVAL_MS, undefined, { signal }).catch(() => undefined);
       continue;
@@ -76,6 +77,19 @@
   }
 }
 
+/** Logs when the group becomes complete or incomplete: no map changes while a rank is missing. */
+function logCompleteness(
+  { view, logger }: CoordinatorOptions,
+  wasComplete: boolean,
+  isComplete: boolean,
+): boolean {
+  if (isComplete === wasComplete) return isComplete;
+  const ranks = view.ranks.size;
+  if (isComplete) logger.info({ group: view.group, ranks }, 'all ranks of the group report');
+  else logger.warn({ group: view.group, ranks }, 'a rank of the group does not report');
+  return isComplete;
+}
+
 /** Resolves a pass that is found held, by an earlier coordinator or by an order of this one that executed late. */
 async function resolveOrphanedHold(
   options: CoordinatorOptions,
@@ -130,7 +144,12 @@
   metrics.recordLatency('map_plan', startedAt - plannedAt);
   const slowRanks = paces.filter((pace) => pace > 1).length;
   if (slowRanks > 0) metrics.addCount('map_plan_slow_ranks');
-  const isWorthwhile = plan.savedMs >= MIN_SAVED_MS;
+  const isWorthwhile = isChangeWorthwhile({
+    savedMs: plan.savedMs,
+    persistenceMs: PERSISTENCE_MS,
+    passMs: view.passClock.passMs,
+    maxGapMs: layout.maxGapMs,
+  });
   const expectedSkew = isWorthwhile ? plan.skewAfter : plan.skewBefore;
   planRate.recordPlan(plannedAt, startedAt, expectedSkew, isWorthwhile);
   if (!isWorthwhile) return false;
--- a/src/process/ranker/groupLinks.spec.ts
+++ b/src/process/ranker/groupLinks.spec.ts
@@ -28,7 +28,8 @@
     let listings = 0;
     let endWait = (): void => undefined;
     const isReadAgain = new Promise<void>((resolve) => (endWait = resolve));
-    const configuration = { services: new Map([[service, { id: service, engine: { experts } }]]) };
+    const services = new Map([[service, { id: service, engine: { experts } }]]);
+    const configuration = { routes: [], services };
     const source = {
       readConfiguration: () => Promise.resolve(Ok({ era: 0, revision: 1, configuration })),
       readUpstreams: () => {
--- a/src/process/ranker/groupLinks.ts
+++ b/src/process/ranker/groupLinks.ts
@@ -5,6 +5,7 @@
 import type { Logger } from '../logging.js';
 import type { Metrics } from '../metrics.js';
 import type { RankerSettings } from '../settings/rankerSettings.js';
+import { computeMaxGaps } from '../../version/routing/maxGaps.js';
 import { computeCopyMs } from './changeCosts.js';
 import { GroupRoster } from './groupRoster.js';
 import type { GroupView } from './groupView.js';
@@ -15,9 +16,11 @@
 
 /** The upstream list and the expert layout change rarely; two coordinators read them. */
 const REFRESH_INTERVAL_MS = 4_000;
-const INITIAL_REFRESH_INTERVAL_MS = 300;
-/** After a loss of power, engines register again over some seconds, and no map changes before all ranks are linked. */
-const INCOMPLETE_REFRESH_INTERVAL_MS = 600;
+/** First interval while ranks are missing: no map changes before all are linked. */
+const INITIAL_REFRESH_INTERVAL_MS = 100;
+/** Growth of the interval while ranks are missing; after a loss of power, engines register again over some seconds. */
+const INTERVAL_GROWTH = 1.5;
+const MAX_INCOMPLETE_REFRESH_INTERVAL_MS = 600;
 
 export interface GroupLinksOptions {
   readonly view: GroupView;
@@ -49,15 +52,14 @@
   async refresh(): Promise<void> {
     const { source, logger, signal, settings } = this.options;
     let known: ConfigurationPosition | undefined;
+    let incompleteMs = INITIAL_REFRESH_INTERVAL_MS;
     while (!signal.aborted) {
       const configuration = await source.readConfiguration(known);
       if (configuration.isOk()) {
         known = configuration.value;
-        const service = [...(configuration.value.configuration?.services.values() ?? [])].find(
-          ({ id }) => id === settings.service,
-        );
-        const experts = service?.engine?.experts;
-        if (experts !== undefined) {
+        const { configuration: routing } = configuration.value;
+        const experts = routing?.services.get(settings.service)?.engine?.experts;
+        if (routing !== undefined && experts !== undefined) {
           this.layout = {
             layers: experts.sets,
             expertsPerLayer: experts.expertsPerSet,
@@ -65,6 +67,7 @@
             maxLoadsPerLayer: experts.maxLoadsPerLayer,
             copyMs: computeCopyMs(experts),
             expertShare: experts.expertShare,
+            maxGapMs: computeMaxGaps(routing).get(settings.service),
           };
         }
       }
@@ -76,8 +79,11 @@
           if (upstream.service === settings.service) this.connectToRanker(upstream.address);
         }
       }
-      const isInitialized = this.layout !== undefined && listing.isOk();
-      const intervalMs = isInitialized ? this.chooseInterval() : INITIAL_REFRESH_INTERVAL_MS;
+      const isComplete = this.layout !== undefined && this.view.ranks.size >= this.view.size;
+      const intervalMs = isComplete ? REFRESH_INTERVAL_MS : incompleteMs;
+      incompleteMs = isComplete
+        ? INITIAL_REFRESH_INTERVAL_MS
+        : Math.min(incompleteMs * INTERVAL_GROWTH, MAX_INCOMPLETE_REFRESH_INTERVAL_MS);
       await sleep(intervalMs, undefined, { signal }).catch(() => undefined);
     }
   }
@@ -93,11 +99,6 @@
     this.view.addSelections(rank, epoch, packed, this.layout, performance.now());
   }
 
-  private chooseInterval(): number {
-    const isComplete = this.view.ranks.size >= this.view.size;
-    return isComplete ? REFRESH_INTERVAL_MS : INCOMPLETE_REFRESH_INTERVAL_MS;
-  }
-
   private createRemoteRank(link: PeerLink): RemoteRank {
     return new RemoteRank(link, this.encoder, this.orderTimeout, () => performance.now());
   }
--- a/src/process/ranker/types.ts
+++ b/src/process/ranker/types.ts
@@ -67,6 +67,8 @@
   readonly copyMs: number;
   /** Share of the pass time that depends on the expert map, 0 to 1. */
   readonly expertShare: number;
+  /** Longest gap between events that all streams of the service allow; undefined if none states one. */
+  readonly maxGapMs?: number | undefined;
 }
 
 export type RankError = 'timeout' | 'unreachable' | 'malformed';
--- a/src/request/admission/serviceLoad.ts
+++ b/src/request/admission/serviceLoad.ts
@@ -28,6 +28,7 @@
   running = 0;
   private readonly secondLineAdmissions = new DecayingCount(SECOND_LINE_TIME_CONSTANT_MS);
   private releaseTimes: number[] = [];
+  private firstAdmissionAt: number | undefined;
   private firstEventMs: number | undefined;
   private firstEventDeviationMs = 0;
 
@@ -50,6 +51,7 @@
    */
   recordAdmission(request: ReservationRequest, line: Line, now: number): void {
     this.running += 1;
+    this.firstAdmissionAt ??= now;
     if (request.isRepeat !== true) this.shares.recordAdmission(request.priority, now);
     if (line === 'second') this.secondLineAdmissions.add(now);
   }
@@ -102,9 +104,10 @@
    */
   getReleaseInterval(now: number): number {
     this.releaseTimes = this.releaseTimes.filter((at) => now - at < RATE_WINDOW_MS);
-    return this.releaseTimes.length === 0
-      ? DEFAULT_RELEASE_INTERVAL_MS
-      : RATE_WINDOW_MS / this.releaseTimes.length;
+    if (this.releaseTimes.length === 0) return DEFAULT_RELEASE_INTERVAL_MS;
+    // A gateway that has just started has seen few releases, though many requests run.
+    const observedMs = Math.min(RATE_WINDOW_MS, now - (this.firstAdmissionAt ?? -Infinity));
+    return observedMs / this.releaseTimes.length;
   }
 
   /**
