feat: plan maps for the observed interval between shifts of demand; split the map change by job

Change: shiftInterval.ts estimates it from the plans (mean of the last intervals, or the time since the last shift if longer).

--- a/src/process/ranker/changeMap.ts
+++ b/src/process/ranker/changeMap.ts
@@ -1,10 +1,15 @@
-import type { ChangeTimer } from './changeTimer.js';
-import type { GroupView, RankState } from './groupView.js';
+import type { GroupView } from './groupView.js';
+import type { ChangeContext } from './sendOrder.js';
+import {
+  hasOtherEpoch,
+  isArmedFor,
+  releasePass,
+  RESEND_INTERVAL_MS,
+  sendOrder,
+} from './sendOrder.js';
+import { undoChange } from './undoChange.js';
 import type { OrderOutcome, RankOrder, RankReport } from './types.js';
-import { getReplacingVersion } from './versionSource.js';
 
-/** Minimum time between two sends of an order to a rank; a link hop and a local call take about 8 ms. */
-const RESEND_INTERVAL_MS = 60;
 /** Copying four experts takes 0.6 s; a change that takes much longer completes too late for its demand. */
 const PREPARE_TIMEOUT_MS = 2_500;
 /** All ranks are armed within this time unless one is unreachable. */
@@ -42,19 +47,6 @@
   readonly epoch: number;
 }
 
-export interface ChangeContext {
-  readonly view: GroupView;
-  readonly readClock: () => number;
-  /** Lowest pass that no earlier change has named; a late order of an earlier change must not match a new one. */
-  firstUnusedPass: number;
-  /** Time at which an order last remained unanswered. */
-  lastUnansweredOrderAt: number;
-  /** Estimated time from the hold to the release of a pass; undefined until measured. */
-  armMs?: number | undefined;
-  /** Measures the change in progress. */
-  timer?: ChangeTimer | undefined;
-}
-
 /**
  * Changes the expert map of a group so that all ranks switch before the same pass.
  *
@@ -139,83 +131,6 @@
   return 'idle';
 }
 
-/**
- * Releases a held pass at one rank.
- *
- * @param context - Ranks and clock
- * @param rank - Rank that holds the pass
- * @param epoch - Epoch of the hold
- * @param pass - Held pass
- */
-export async function releasePass(
-  context: ChangeContext,
-  rank: number,
-  epoch: number,
-  pass: number,
-): Promise<void> {
-  for (;;) {
-    const state = context.view.ranks.get(rank);
-    if (state?.report.epoch !== epoch) {
-      if (rank === 0 || context.view.ranks.get(0)?.report.epoch !== epoch) return;
-      await context.view.waitForStatus(RESEND_INTERVAL_MS);
-      continue;
-    }
-    const outcome = await sendOrder(context, state, { kind: 'release', pass }, epoch);
-    if (outcome !== 'unknown') return;
-  }
-}
-
-/**
- * Undoes a change whose pass is held at the local rank. A deputy may find all ranks armed and release that pass at any
- * time, so another rank holds it as well before the first rank is disarmed.
- *
- * @param context - Ranks and clock
- * @param version - Highest version for which an order to arm may be in flight
- * @param epoch - Epoch of the group
- * @param pass - Held pass
- * @returns `begun` if the pass has begun, so that all ranks have switched
- */
-export async function undoChange(
-  context: ChangeContext,
-  version: number,
-  epoch: number,
-  pass: number,
-): Promise<'undone' | 'epoch_changed' | 'begun'> {
-  const guard = await holdElsewhere(context, epoch, pass);
-  if (typeof guard === 'string') return guard;
-  const undone = await rollBackArming(context, version, epoch);
-  if (!undone) return 'epoch_changed';
-  for (const { report } of [...context.view.ranks.values()]) {
-    const isHolder = report.rank === guard || report.held === pass;
-    if (isHolder && report.rank !== 0) await releasePass(context, report.rank, epoch, pass);
-  }
-  await releasePass(context, 0, epoch, pass);
-  return 'undone';
-}
-
-/** Holds a pass at a rank other than the local one. */
-async function holdElsewhere(
-  context: ChangeContext,
-  epoch: number,
-  pass: number,
-): Promise<number | 'begun' | 'epoch_changed'> {
-  const { view } = context;
-  if (view.size === 1) return 0;
-  for (;;) {
-    for (const state of [...view.ranks.values()].sort((a, b) => a.report.rank - b.report.rank)) {
-      const local = view.ranks.get(0)?.report;
-      if (local?.epoch !== epoch || !local.isOpen) return 'epoch_changed';
-      if (local.pass >= pass) return 'begun';
-      const { report } = state;
-      if (report.rank === 0 || report.epoch !== epoch) continue;
-      if (report.held === pass) return report.rank;
-      const outcome = await sendOrder(context, state, { kind: 'hold', pass }, epoch);
-      if (outcome === 'done' || outcome === 'begun') return report.rank;
-    }
-    await view.waitForStatus(RESEND_INTERVAL_MS);
-  }
-}
-
 async function holdPass(context: ChangeContext, epoch: number): Promise<number | undefined> {
   const isReliable =
     context.armMs !== undefined ||
@@ -269,19 +184,6 @@
   context.armMs = Math.max(durationMs, estimateMs + (durationMs - estimateMs) * ARM_TIME_WEIGHT);
 }
 
-async function sendOrder(
-  context: ChangeContext,
-  state: RankState,
-  order: RankOrder,
-  epoch: number,
-): Promise<OrderOutcome> {
-  const sentAt = context.readClock();
-  const outcome = await state.sendOrder(order, epoch);
-  context.timer?.recordOrder(context.readClock() - sentAt);
-  if (outcome === 'unknown') context.lastUnansweredOrderAt = context.readClock();
-  return outcome;
-}
-
 /** Sends an order to every rank until each has confirmed it or reports its effect. */
 async function sendOrderToAll(
   context: ChangeContext,
@@ -333,61 +235,3 @@
   const state = view.ranks.get(rank);
   return state !== undefined && isConfirmed(state.report);
 }
-
-/**
- * Disarms all ranks and makes them prepare a newer version, which makes late orders to arm the old one fail. The pass
- * may be released only when every rank has prepared the newer version and none is armed.
- *
- * @param context - Ranks and clock
- * @param version - Highest version for which an order to arm may be in flight
- * @param epoch - Epoch of the group
- * @returns False when the group has re-formed, which invalidates all orders
- */
-export async function rollBackArming(
-  context: ChangeContext,
-  version: number,
-  epoch: number,
-): Promise<boolean> {
-  const { view } = context;
-  const replacingVersion = getReplacingVersion(version);
-  const inFlight = new Set<number>();
-  const send = (state: RankState, order: RankOrder): void => {
-    const { rank } = state.report;
-    if (inFlight.has(rank)) return;
-    inFlight.add(rank);
-    void sendOrder(context, state, order, epoch).then(() => inFlight.delete(rank));
-  };
-  for (;;) {
-    const states = [...view.ranks.values()].sort((a, b) => a.report.rank - b.report.rank);
-    if (hasOtherEpoch(states, epoch)) return false;
-    const placement = view.assemblePlacement(states);
-    let isRolledBack = states.length === view.size;
-    for (const state of states) {
-      const { armed, prepared } = state.report;
-      if (armed !== undefined) {
-        send(state, { kind: 'disarm', version: armed.version });
-      } else if ((prepared ?? 0) <= version && placement !== undefined) {
-        send(state, { kind: 'prepare', version: replacingVersion, placement });
-      } else continue;
-      isRolledBack = false;
-    }
-    if (isRolledBack) return true;
-    await new Promise((resolve) => setTimeout(resolve, RESEND_INTERVAL_MS));
-  }
-}
-
-/**
- * Checks whether a rank is armed for a pass.
- *
- * @param report - Report of the rank
- * @param version - Version of the map
- * @param pass - Pass before which the rank switches
- * @returns True if it switches to this version before this pass
- */
-export function isArmedFor({ armed }: RankReport, version: number, pass: number): boolean {
-  return armed?.version === version && armed.pass === pass;
-}
-
-function hasOtherEpoch(states: readonly RankState[], epoch: number): boolean {
-  return states.some(({ report }) => report.epoch !== epoch || !report.isOpen);
-}
--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -3,7 +3,6 @@
 import type { Metrics } from '../metrics.js';
 import { planCopies } from '../../version/placement/copyPlan.js';
 import { ChangeOverhead } from './changeCosts.js';
-import type { ChangeContext } from './changeMap.js';
 import { changeMap } from './changeMap.js';
 import { isChangeWorthwhile } from './changeWorth.js';
 import { ChangeTimer } from './changeTimer.js';
@@ -12,11 +11,11 @@
 import type { GroupView, RankState } from './groupView.js';
 import { PlanRate } from './planRate.js';
 import { findHolder, resolveHeldPass } from './resolveHeldPass.js';
+import type { ChangeContext } from './sendOrder.js';
+import { ShiftInterval } from './shiftInterval.js';
 import type { ExpertLayout } from './types.js';
 import { VersionSource } from './versionSource.js';
 
-/** Demand shifts to other experts every 2.4 to 4 s. */
-const PERSISTENCE_MS = 3_000;
 /** Expert selections required before planning; with fewer, chance determines which expert appears popular. */
 const MIN_SELECTIONS = 6_000;
 /** Interval between two checks of the group while no change is in progress. */
@@ -38,6 +37,7 @@
 interface ChangeHistory {
   readonly versions: VersionSource;
   readonly planRate: PlanRate;
+  readonly shifts: ShiftInterval;
   readonly overhead: ChangeOverhead;
 }
 
@@ -57,6 +57,7 @@
   const history: ChangeHistory = {
     versions: new VersionSource(options.readWallClock()),
     planRate: new PlanRate(),
+    shifts: new ShiftInterval(),
     overhead: new ChangeOverhead(),
   };
   let wasComplete = false;
@@ -120,7 +121,7 @@
   layout: ExpertLayout,
 ): Promise<boolean> {
   const { view, logger, metrics, readClock } = options;
-  const { versions, planRate, overhead } = history;
+  const { versions, planRate, shifts, overhead } = history;
   const placement = view.assemblePlacement(states);
   const demand = view.demand;
   if (placement === undefined || demand === undefined || demand.total < MIN_SELECTIONS)
@@ -130,13 +131,14 @@
   const paces = listPaces(states);
   if (!planRate.isDue(plannedAt, () => computeSkew(demand.getLoad(), placement, paces)))
     return false;
+  const persistenceMs = shifts.estimate(plannedAt);
   const plan = planCopies(demand.getLoad(), placement, {
     slotsPerRank: layout.slotsPerRank,
     maxLoadsPerLayer: layout.maxLoadsPerLayer,
     copyMs: layout.copyMs,
     overheadMs: overhead.averageMs,
     stopMs: overhead.averageStopMs,
-    persistenceMs: PERSISTENCE_MS,
+    persistenceMs,
     expertShare: layout.expertShare,
     paces,
   });
@@ -146,11 +148,12 @@
   if (slowRanks > 0) metrics.addCount('map_plan_slow_ranks');
   const isWorthwhile = isChangeWorthwhile({
     savedMs: plan.savedMs,
-    persistenceMs: PERSISTENCE_MS,
+    persistenceMs,
     passMs: view.passClock.passMs,
     maxGapMs: layout.maxGapMs,
   });
   const expectedSkew = isWorthwhile ? plan.skewAfter : plan.skewBefore;
+  shifts.recordPlan(plan.skewBefore, expectedSkew, plannedAt);
   planRate.recordPlan(plannedAt, startedAt, expectedSkew, isWorthwhile);
   if (!isWorthwhile) return false;
   const epoch = states[0]?.report.epoch ?? 0;
@@ -186,6 +189,7 @@
       skewAfter: round(computeSkew(demand.getLoad(), inUse, paces)),
       slowRanks,
       demand: Math.round(demand.total),
+      persistenceMs: Math.round(persistenceMs),
       tookMs: Math.round(tookMs),
       ...durations,
       planMs: Math.round(startedAt - plannedAt),
--- a/src/process/ranker/finishStalledChange.ts
+++ b/src/process/ranker/finishStalledChange.ts
@@ -1,4 +1,4 @@
-import { isArmedFor } from './changeMap.js';
+import { isArmedFor } from './sendOrder.js';
 import type { RankEngine, RankOrder, RankReport } from './types.js';
 import { isChangeVersion } from './versionSource.js';
 
--- a/src/process/ranker/rankerDaemon.ts
+++ b/src/process/ranker/rankerDaemon.ts
@@ -11,13 +11,13 @@
 import { startMetricsServer } from '../metricsServer.js';
 import type { RankerSettings } from '../settings/rankerSettings.js';
 import { coordinateGroup } from './coordinator.js';
-import { finishStalledChange } from './finishStalledChange.js';
+import { Deputy } from './deputy.js';
 import { GroupLinks } from './groupLinks.js';
 import { ROSTER_FEATURE } from './groupRoster.js';
 import { GroupView } from './groupView.js';
 import { RankOrderDecoder } from './remoteRankOrders.js';
 import { SelectionReporter } from './selectionReporter.js';
-import { isChangePending, StandstillDetector } from './standstillDetector.js';
+import { isChangePending } from './standstillDetector.js';
 import type { OrderOutcome, RankEngine, RankOrder, RankReport, RemoteEngine } from './types.js';
 
 const POLL_INTERVAL_MS = 140;
@@ -46,11 +46,6 @@
   release: FAST_POLL_AFTER_RELEASE_MS,
 };
 
-/** A deputy gives up after this time. */
-const DEPUTY_TIMEOUT_MS = 600;
-/** Time until a deputy acts again on a group that still stands still; reads on other hosts cost their engines time. */
-const DEPUTY_REPEAT_MS = 500;
-
 export interface RankerDependencies {
   readonly engine: RankEngine;
   /** Opens a connection to the engine of another rank. */
@@ -75,10 +70,7 @@
   private sentMapKey: string | undefined;
   private sentStatusKey: string | undefined;
   private statusSentAt = -Infinity;
-  private readonly standstill = new StandstillDetector();
-  /** Addresses of the engines of the group by rank, as told by the coordinator. */
-  private engineAddresses: readonly string[] = [];
-  private nextDeputyAt = -Infinity;
+  private readonly deputy: Deputy;
   /** Set at the coordinator. */
   private groupLinks: GroupLinks | undefined;
   private endPollDelay: () => void = () => undefined;
@@ -88,6 +80,7 @@
     private readonly dependencies: RankerDependencies,
   ) {
     this.selections = new SelectionReporter(dependencies.engine);
+    this.deputy = new Deputy({ ...dependencies, metrics: this.metrics });
     const { host, port } = parseAddress(settings.linkAddress);
     this.server = new LinkServer({
       host,
@@ -98,7 +91,7 @@
           void this.executeOrder(message, link);
         },
         groupRoster: ({ engines }) => {
-          this.engineAddresses = engines;
+          this.deputy.setEngines(engines);
         },
       },
       onLink: (link) => {
@@ -168,7 +161,7 @@
         }
       }
       if (last !== undefined) {
-        if (this.standstill.observe(last, now)) void this.finishStalledChange(last);
+        this.deputy.observe(last, now);
         await this.publishReport(last, now);
       }
       const isPending = last !== undefined && isChangePending(last);
@@ -179,27 +172,6 @@
     }
   }
 
-  /** Acts for a coordinator that has stopped while a pass is held. */
-  private async finishStalledChange({ group, epoch, pass, rank, size }: RankReport): Promise<void> {
-    const { engine, connectEngine, logger } = this.dependencies;
-    const startedAt = performance.now();
-    if (startedAt < this.nextDeputyAt || this.engineAddresses.length !== size) return;
-    this.nextDeputyAt = Infinity;
-    const remotes = this.engineAddresses.map((address) => connectEngine(address));
-    const engines = remotes.map((remote, index) => (index === rank ? engine : remote));
-    const deadlineAt = startedAt + DEPUTY_TIMEOUT_MS;
-    const readClock = (): number => performance.now();
-    const { end, unread } = await finishStalledChange(engines, epoch, pass, deadlineAt, readClock);
-    for (const remote of remotes) remote.close();
-    this.nextDeputyAt = performance.now() + DEPUTY_REPEAT_MS;
-    const tookMs = Math.round(performance.now() - startedAt);
-    logger.warn(
-      { group, epoch, pass, end, unread: unread.join(), tookMs },
-      'acted for the coordinator of a stalled group',
-    );
-    this.metrics.addCount(`deputy_${end}`);
-  }
-
   private async publishReport(report: RankReport, now: number): Promise<void> {
     if (this.preparingVersion !== undefined && report.prepared === this.preparingVersion) {
       this.preparingVersion = undefined;
--- a/src/process/ranker/resolveHeldPass.ts
+++ b/src/process/ranker/resolveHeldPass.ts
@@ -1,5 +1,7 @@
-import type { ChangeContext } from './changeMap.js';
-import { completeHeldChange, isArmedFor, releasePass, undoChange } from './changeMap.js';
+import { completeHeldChange } from './changeMap.js';
+import type { ChangeContext } from './sendOrder.js';
+import { isArmedFor, releasePass } from './sendOrder.js';
+import { undoChange } from './undoChange.js';
 import type { RankState } from './groupView.js';
 import type { RankReport } from './types.js';
 
