--- a/src/process/ranker/changeWorth.ts
+++ b/src/process/ranker/changeWorth.ts
@@ -1,7 +1,7 @@
 /** A change that saves a smaller share of the pass time is not worth its orders and the next change that it delays. */
 const MIN_SAVED_SHARE = 0.03;
 /** Share that a change has to save in addition while passes take no part of the allowed gap. */
-const SAVED_SHARE_AT_REST = 0.25;
+const SAVED_SHARE_AT_REST = 0.1;
 /** Part of the allowed gap that is left to passes; the rest covers their variation and transit to the caller. */
 const PASS_TIME_SHARE = 0.85;
 
