fix: pause before an unanswered order to the local engine is sent again

Before: without the pause the new test does not end (stopped after 15 s): the resends leave no turn to anything else. Tests: deputy with fake engines, roster of a group.

--- a/src/process/ranker/changeMap.spec.ts
+++ b/src/process/ranker/changeMap.spec.ts
@@ -86,6 +86,46 @@
     expect(outcome).to.equal('not_prepared');
   });
 
+  // An engine that refuses connections fails each order at once, which kept its ranker busy with resends.
+  it('guards against resends without a pause to an engine that is unreachable', async () => {
+    let now = 0;
+    let holds = 0;
+    const group = new LockstepGroup(
+      RANKS,
+      () => 0.5,
+      noFaults,
+      () => now,
+    );
+    const view = new GroupView('g', RANKS);
+    const sendOrder: RankState['sendOrder'] = async (order, epoch) => {
+      if (order.kind !== 'hold') return group.receiveOrder(0, order, epoch);
+      holds += 1;
+      return 'unknown';
+    };
+    const publish = (): void => {
+      for (let rank = 0; rank < RANKS; rank += 1) {
+        const status = { report: { ...group.report(rank), prepared: 6 }, experts: [[rank]] };
+        view.applyStatus(status, sendOrder, now);
+      }
+    };
+    publish();
+    const context = {
+      view,
+      readClock: () => now,
+      firstUnusedPass: 0,
+      lastUnansweredOrderAt: -Infinity,
+    };
+    const ended = changeMap(context, { version: 6, epoch: 1, placement });
+    while (now < 2_000) {
+      now += TICK_MS;
+      mock.timers.tick(TICK_MS);
+      publish();
+      await nextTurn();
+    }
+    expect(await ended).to.equal('not_held');
+    expect(holds).to.be.within(2, 100);
+  });
+
   // A wait at the held pass of more than some 30 ms makes every running stream of the group late.
   it('guards against a large group that stands still at the held pass while slow orders arrive', async () => {
     const ranks = 32;
--- a/src/process/ranker/changeMap.ts
+++ b/src/process/ranker/changeMap.ts
@@ -6,6 +6,7 @@
   releasePass,
   RESEND_INTERVAL_MS,
   sendOrder,
+  waitToRetry,
 } from './sendOrder.js';
 import { undoChange } from './undoChange.js';
 import type { OrderOutcome, RankOrder, RankReport } from './types.js';
@@ -164,6 +165,7 @@
     if (localState?.report.epoch !== epoch) return 'refused';
     const outcome = await sendOrder(context, localState, { kind: 'hold', pass }, epoch);
     if (outcome !== 'unknown' || context.readClock() >= deadlineAt) return outcome;
+    await waitToRetry();
   }
 }
 
--- a/src/process/ranker/sendOrder.ts
+++ b/src/process/ranker/sendOrder.ts
@@ -5,6 +5,9 @@
 /** Minimum time between two sends of an order to a rank; a link hop and a local call take about 8 ms. */
 export const RESEND_INTERVAL_MS = 60;
 
+/** Delay before an unanswered order is sent again; an engine that is unreachable fails each one at once. */
+const RETRY_DELAY_MS = 20;
+
 /** What a coordinator keeps from one order to the next. */
 export interface ChangeContext {
   readonly view: GroupView;
@@ -64,6 +67,7 @@
     }
     const outcome = await sendOrder(context, state, { kind: 'release', pass }, epoch);
     if (outcome !== 'unknown') return;
+    await waitToRetry();
   }
 }
 
@@ -89,3 +93,8 @@
 export function hasOtherEpoch(states: readonly RankState[], epoch: number): boolean {
   return states.some(({ report }) => report.epoch !== epoch || !report.isOpen);
 }
+
+/** Waits before an unanswered order is sent again. */
+export function waitToRetry(): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, RETRY_DELAY_MS));
+}
