--- a/src/process/ranker/changeMap.ts
+++ b/src/process/ranker/changeMap.ts
@@ -11,7 +11,7 @@
 import { undoChange } from './undoChange.js';
 import type { OrderOutcome, RankOrder, RankReport } from './types.js';
 
-/** Copying four experts takes 0.6 s; a change that takes much longer completes too late for its demand. */
+/** A change whose copies take longer completes too late for its demand. */
 const PREPARE_TIMEOUT_MS = 2_500;
 /** All ranks are armed within this time unless one is unreachable. */
 const ARM_TIMEOUT_MS = 1_500;
--- a/src/process/ranker/demandTracker.ts
+++ b/src/process/ranker/demandTracker.ts
@@ -1,6 +1,6 @@
 import type { GroupLoad } from '../../version/placement/types.js';
 
-/** Half-life of the weight of an expert selection; demand shifts every 2 to 4 s. */
+/** Half-life of the weight of an expert selection, a fraction of the time between two shifts of demand. */
 const HALF_LIFE_MS = 250;
 /** Weights are rescaled before the growth of new selections exceeds this factor. */
 const MAX_GROWTH = 2 ** 40;
--- a/src/process/ranker/selectionReporter.ts
+++ b/src/process/ranker/selectionReporter.ts
@@ -2,7 +2,7 @@
 import { packSelections } from './selectionCodec.js';
 import type { RankEngine, RankReport, SelectionCounts } from './types.js';
 
-/** Minimum interval of selection count reads; demand shifts every 2 to 4 s, and each read costs about 0.5 ms. */
+/** Minimum interval of selection count reads: short against the time between shifts of demand, as each read takes time. */
 const MIN_INTERVAL_MS = 140;
 /** Upper bound on the selection counts that a coordinator receives, in bits per ms; the slowest known links have 5,600. */
 const MAX_BITS_PER_MS = 800;
--- a/src/request/admission/admissionQueue.ts
+++ b/src/request/admission/admissionQueue.ts
@@ -16,11 +16,11 @@
 import { WaitingLines } from './waitingLines.js';
 
 /**
- * After a site-wide power loss, groups accept work 1.2 s after the gateway restarts, whereas a single crashed rank needs
+ * After a site-wide power loss, groups accept work soon after the gateway restarts, whereas a single crashed rank needs
  * several seconds. Requests are queued only while the former is likely, instead of refused, because callers retry once.
  */
 const OUTAGE_MAX_QUEUE_MS = 2_000;
-/** In a longer outage, leaves a group time to re-form, which takes 0.6 s, and to be probed before callers retry. */
+/** In a longer outage, leaves a group time to re-form and to be probed before callers retry. */
 const OUTAGE_RETRY_AFTER_MS = 1_200;
 
 /**
--- a/src/request/admission/groupHealth.ts
+++ b/src/request/admission/groupHealth.ts
@@ -1,8 +1,8 @@
 import type { UpstreamId } from '../../ids.js';
 
-/** Three passes of at most 120 ms; a group without an event for this long is stalled. */
+/** A group without an event for this long is stalled; its passes stay well below it while callers' gaps are kept. */
 const STALL_TIMEOUT_MS = 360;
-/** Time until a failed group is probed; it re-forms about 0.6 s after its last rank has restarted. */
+/** Time until a failed group is probed, which re-forms some time after its last rank has restarted. */
 const INITIAL_BACKOFF_MS = 400;
 const MAX_BACKOFF_MS = 1_600;
 
