fix: a deputy checks that each engine is still the rank that its address was told for

Cause: found while reading the diff: the roster names addresses, and an upstream may be replaced by one of another group; only the epoch was compared, so reports of a foreign rank could stand for one that is not armed. Change: group and rank of every report must match before a deputy arms or releases anything.

--- a/bench/proofs/heldMaps.ts
+++ b/bench/proofs/heldMaps.ts
@@ -219,7 +219,7 @@
     }
   }
 
-  private async act(deputy: number, { epoch, pass }: RankReport): Promise<void> {
+  private async act(deputy: number, report: RankReport): Promise<void> {
     this.active.add(deputy);
     const deadlineAt = this.readClock() + DEPUTY_TIMEOUT_MS;
     const engines = this.group.ranks.map((_, rank) => ({
@@ -227,7 +227,7 @@
       sendOrder: (order: RankOrder, expected: number) =>
         this.group.receiveOrder(rank, order, expected),
     }));
-    await finishStalledChange(engines, epoch, pass, deadlineAt, this.readClock);
+    await finishStalledChange(engines, report, deadlineAt, this.readClock);
     this.active.delete(deputy);
   }
 
--- a/src/process/ranker/deputy.ts
+++ b/src/process/ranker/deputy.ts
@@ -49,13 +49,14 @@
     void this.act(report, now);
   }
 
-  private async act({ group, epoch, pass, rank }: RankReport, startedAt: number): Promise<void> {
+  private async act(report: RankReport, startedAt: number): Promise<void> {
     const { engine, connectEngine, logger, metrics } = this.options;
+    const { group, epoch, pass, rank } = report;
     const readClock = (): number => performance.now();
     const remotes = this.addresses.map((address) => connectEngine(address));
     const engines = remotes.map((remote, index) => (index === rank ? engine : remote));
     const deadlineAt = startedAt + TIMEOUT_MS;
-    const result = await finishStalledChange(engines, epoch, pass, deadlineAt, readClock);
+    const result = await finishStalledChange(engines, report, deadlineAt, readClock);
     for (const remote of remotes) remote.close();
     this.nextAt = readClock() + REPEAT_MS;
     const tookMs = Math.round(readClock() - startedAt);
--- a/src/process/ranker/finishStalledChange.spec.ts
+++ b/src/process/ranker/finishStalledChange.spec.ts
@@ -63,8 +63,8 @@
     readReport: () => Promise.resolve(Ok(group.report(rank))),
     sendOrder: (order: RankOrder, epoch: number) => group.receiveOrder(rank, order, epoch),
   }));
-  const act = ({ epoch, pass }: RankReport): void => {
-    void finishStalledChange(engines, epoch, pass, now + DEPUTY_TIMEOUT_MS, readClock);
+  const act = (report: RankReport): void => {
+    void finishStalledChange(engines, report, now + DEPUTY_TIMEOUT_MS, readClock);
   };
   publish();
   const context = { view, readClock, firstUnusedPass: 0, lastUnansweredOrderAt: -Infinity };
@@ -152,7 +152,7 @@
       },
     }));
     let now = 0;
-    const ended = finishStalledChange(engines, 1, 4, 100, () => (now += 60));
+    const ended = finishStalledChange(engines, report(2), 100, () => (now += 60));
     mock.timers.tick(60);
     for (let turn = 0; turn < 10; turn += 1) {
       await nextTurn();
@@ -162,12 +162,46 @@
     expect(orders).to.deep.equal([]);
   });
 
+  // All ranks of this and of the other group are armed alike, so only the name and the rank tell them apart.
+  it('guards against releasing a pass by reports of a replaced upstream', async () => {
+    const own = { group: 'g', epoch: 1, pass: 4 };
+    for (const foreign of [{ group: 'other' }, { rank: 0 }, { epoch: 2 }, { isOpen: false }]) {
+      const orders: RankOrder[] = [];
+      const engines = [0, 1].map((rank) => ({
+        readReport: () =>
+          Promise.resolve(
+            Ok({
+              ...own,
+              rank,
+              size: 2,
+              isOpen: true,
+              startedAt: 1,
+              map: 2,
+              prepared: CHANGE_VERSION,
+              armed: { version: CHANGE_VERSION, pass: 5 },
+              held: rank === 0 ? 5 : undefined,
+              running: 1,
+              queued: 0,
+              ...(rank === 1 ? foreign : {}),
+            }),
+          ),
+        sendOrder: (order: RankOrder) => {
+          orders.push(order);
+          return Promise.resolve('done' as const);
+        },
+      }));
+      expect((await finishStalledChange(engines, own, 100, () => 0)).end).to.equal('unclear');
+      expect(orders).to.deep.equal([]);
+    }
+  });
+
   it('guards against waiting for an engine that does not answer', async () => {
     const engine = {
       readReport: () => Promise.resolve(Err('timeout' as const)),
       sendOrder: () => Promise.resolve('unknown' as const),
     };
-    const result = await finishStalledChange([engine, engine], 1, 4, 100, () => 0);
+    const own = { group: 'g', epoch: 1, pass: 4 };
+    const result = await finishStalledChange([engine, engine], own, 100, () => 0);
     expect(result).to.deep.equal({ end: 'unread', unread: [0] });
   });
 });
--- a/src/process/ranker/finishStalledChange.ts
+++ b/src/process/ranker/finishStalledChange.ts
@@ -33,19 +33,18 @@
  * begun, and the coordinator undoes a change only while another rank holds the pass as well, which no deputy releases.
  *
  * @param engines - Engines of the group by rank
- * @param epoch - Epoch of the stalled group
- * @param stalledPass - Last pass that the group has begun
+ * @param own - Report of the deputy's rank, which shows the group, its epoch and the last pass that it has begun
  * @param deadlineAt - Time in milliseconds at which the deputy gives up
  * @param readClock - Reads the time in milliseconds
  * @returns Why it has ended
  */
 export async function finishStalledChange(
   engines: GroupEngines,
-  epoch: number,
-  stalledPass: number,
+  own: Pick<RankReport, 'group' | 'epoch' | 'pass'>,
   deadlineAt: number,
   readClock: () => number,
 ): Promise<StalledChangeResult> {
+  const { epoch } = own;
   // Ranks by version and pass: an order that is done is in effect, while reports to other hosts lag.
   const armedHere = new Set<string>();
   let end: StalledChangeEnd = 'unread';
@@ -60,11 +59,9 @@
       if (read.isOk()) reports.push(read.value);
       else unread.push(rank);
     }
-    if (reports.some(({ pass }) => pass > stalledPass)) return { end: 'moving', unread };
     if (unread.length === 0) {
-      if (reports.some(({ epoch: other, isOpen }) => other !== epoch || !isOpen)) {
-        return { end: 'unclear', unread };
-      }
+      if (!areRanksOf(own, reports)) return { end: 'unclear', unread };
+      if (reports.some(({ pass }) => pass > own.pass)) return { end: 'moving', unread };
       const step = chooseStep(reports, armedHere);
       if ('release' in step) {
         const outcome = await engines[0]?.sendOrder(step.release, epoch);
@@ -78,6 +75,18 @@
   return { end, unread };
 }
 
+/** Checks that each address still is that of its rank; an upstream may be replaced by one of another group. */
+function areRanksOf(
+  { group, epoch }: Pick<RankReport, 'group' | 'epoch'>,
+  reports: readonly RankReport[],
+): boolean {
+  for (const [rank, report] of reports.entries()) {
+    if (report.rank !== rank || report.group !== group) return false;
+    if (report.epoch !== epoch || !report.isOpen) return false;
+  }
+  return true;
+}
+
 function chooseStep(reports: readonly RankReport[], armedHere: ReadonlySet<string>): Step {
   const [first] = reports;
   const pass = first?.held;
