fix: an own absence is not taken for an outage of the store, and retained entries are not relayed

Cause: a gap of more than 1.6 s between two reads counted as an outage of the store, whatever had caused it. A gateway that was frozen retained what had vanished meanwhile, and relayed its whole directory, retained entries included, as its listing. The others took the upstream up again, as an entry with an equal heartbeat counts as registered again. Class: a process takes its own absence for that of another, and spreads it. Change: only entries of the last listing are relayed, so each gateway retains by what it knows itself. A gap counts only if a read failed in it or the process was paused. A listing states since when its teller has missed no read; one that covers the gap shows that the store was there, and ends the retention. A gateway with a gap asks the others. Why it works: a gateway that ran has its own reads, so it needs no word of the one that was frozen; one that was frozen is told, or retains for itself alone. Not changed: a gateway that starts within 2.2 s of the return of the store does not get the retained entries of others.

--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -40,6 +40,7 @@
 import { PeerSnapshots } from './peerSnapshots.js';
 import { maintainConfiguration, maintainUpstreams } from './storePolling.js';
 import { PollTimer } from './pollTimer.js';
+import { StoreContact } from './storeContact.js';
 import { StoreEra } from './storeEra.js';
 import { StoreRelay } from './storeRelay.js';
 import { SuspendClock } from './suspendClock.js';
@@ -78,6 +79,7 @@
   private readonly directory = new UpstreamDirectory();
   private readonly evacuations: ZoneEvacuations;
   private readonly storeEra = new StoreEra();
+  private readonly contact = new StoreContact(this.pauses);
   private readonly balancer: UpstreamBalancer;
   private readonly rateLimits: GatewayRateLimits;
   private readonly crashes: CrashContainment;
@@ -135,6 +137,8 @@
         this.peers.send(gateway, message);
       },
     });
+    this.directory.mayHaveMissedOutage = (since) =>
+      this.contact.mayHaveMissedOutage(since, this.readClock());
     this.directory.onListing = (entries, now) => {
       this.rateLimits.cold.observeListing(entries, now);
     };
@@ -308,6 +312,7 @@
       directory: this.directory,
       evacuations: this.evacuations,
       storeEra: this.storeEra,
+      contact: this.contact,
       metrics: this.metrics,
       signal: this.stopController.signal,
       relay: this.relay,
--- a/src/process/gateway/peerSnapshots.spec.ts
+++ b/src/process/gateway/peerSnapshots.spec.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai';
 import { Err } from 'ts-results-es';
-import type { AvailabilityZoneId } from '../../ids.js';
+import type { AvailabilityZoneId, ServiceId, UpstreamId } from '../../ids.js';
 import { toId } from '../../ids.js';
+import type { UpstreamEntry } from '../../version/routing/types.js';
 import { Metrics } from '../metrics.js';
 import { ConfigurationCache } from './configurationCache.js';
 import { PeerSnapshots } from './peerSnapshots.js';
@@ -12,12 +13,25 @@
 const RESTORED_AT_MS = 1_000;
 const QUERIED_AT_MS = 1_100;
 
+const service = toId<ServiceId>('s');
+const createEntry = (id: string): UpstreamEntry => ({
+  id: toId<UpstreamId>(id),
+  service,
+  address: `10.0.0.1:${id.charCodeAt(0)}`,
+  availabilityZone: toId<AvailabilityZoneId>('z'),
+  slots: 4,
+  isDraining: false,
+  startedAt: 1,
+});
+const listIds = (directory: UpstreamDirectory): string[] =>
+  directory.listReady(service).map(({ id }) => id);
+
 /** Creates the exchange of one gateway at the time of a query. */
 function createSnapshots(
   storeEra: StoreEra,
   now = QUERIED_AT_MS,
   onEvacuation = (): void => undefined,
-): { snapshots: PeerSnapshots; evacuations: ZoneEvacuations } {
+): { snapshots: PeerSnapshots; evacuations: ZoneEvacuations; directory: UpstreamDirectory } {
   const discard = (): void => undefined;
   const logger = { debug: discard, info: discard, warn: discard, error: discard };
   const directory = new UpstreamDirectory();
@@ -37,7 +51,7 @@
     onConfiguration: discard,
     onUpstreamStarted: discard,
   });
-  return { snapshots, evacuations };
+  return { snapshots, evacuations, directory };
 }
 
 describe('snapshots of peers', () => {
@@ -91,4 +105,27 @@
     expect(own.evacuations.describe(QUERIED_AT_MS)?.zones).to.deep.equal(['a']);
     expect(changes).to.equal(1);
   });
+
+  // A gateway that has been frozen takes its own absence for one of the store, and retains what has left meanwhile.
+  it('guards against an upstream that has left and is taken up again on the word of a gateway that was frozen', () => {
+    const wokenAt = 5_000;
+    const entries = ['a', 'b'].map((id) => createEntry(id));
+    const woken = createSnapshots(new StoreEra(), wokenAt);
+    woken.directory.applyListing(entries, 0, 0);
+    woken.directory.applyListing(entries.slice(0, 1), wokenAt - 100, wokenAt - 100);
+    const running = createSnapshots(new StoreEra(), wokenAt);
+    for (let at = 0; at < wokenAt; at += 500) {
+      running.directory.applyListing(at < 1_000 ? entries : entries.slice(0, 1), at, at);
+    }
+    for (const listing of [undefined, '']) {
+      const reply = woken.snapshots.create(0, false, listing);
+      running.snapshots.apply(reply, wokenAt, 'gateway-1');
+      expect(listIds(running.directory)).to.deep.equal(['a']);
+    }
+    // The one that ran shows that the store was available.
+    expect(listIds(woken.directory)).to.deep.equal(['a', 'b']);
+    woken.snapshots.apply(running.snapshots.create(0, false), wokenAt, 'gateway-2');
+    woken.directory.applyListing(entries.slice(0, 1), wokenAt + 650, wokenAt + 650);
+    expect(listIds(woken.directory)).to.deep.equal(['a']);
+  });
 });
--- a/src/process/gateway/peerSnapshots.ts
+++ b/src/process/gateway/peerSnapshots.ts
@@ -82,6 +82,7 @@
     const monotonicNow = this.options.readMonotonicClock();
     const proofAgeMs = configurationCache.computeAge(now);
     const listingAgeMs = directory.computeAge(now);
+    const listingCompleteMs = directory.computeCompleteMs(now);
     const evacuations = this.options.evacuations.describe(now);
     const cold = this.options.cold?.encode(monotonicNow) ?? [];
     const { current } = configurationCache;
@@ -97,7 +98,7 @@
         ? { document: current.document }
         : {}),
       ...(Number.isFinite(listingAgeMs) && !configurationOnly
-        ? { listingAgeMs, listingEra: directory.era }
+        ? { listingAgeMs, listingEra: directory.era, listingCompleteMs }
         : {}),
       ...(cold.length > 0 ? { cold } : {}),
       ...this.describeListing(configurationOnly, listing),
@@ -165,7 +166,7 @@
   }
 
   private applyListing(snapshot: StateSnapshot, readStartedAt: number, sender: string): void {
-    const { directory, logger, readMonotonicClock, onUpstreamStarted } = this.options;
+    const { directory, logger, readClock, readMonotonicClock, onUpstreamStarted } = this.options;
     const listed = this.assembleListing(snapshot, sender);
     if (listed === undefined) return;
     const upstreams = listed.map((entry) => ({
@@ -174,13 +175,14 @@
       service: toId<ServiceId>(entry.service),
       availabilityZone: toId<AvailabilityZoneId>(entry.availabilityZone),
     }));
-    const changes = directory.applyListing(
-      upstreams,
-      readStartedAt,
-      readMonotonicClock(),
-      snapshot.listingEra,
-      true,
-    );
+    const { listingEra, listingCompleteMs } = snapshot;
+    // Counted from the arrival of the reply, so that a late one proves less.
+    const completeSince =
+      listingCompleteMs === undefined ? undefined : readClock() - listingCompleteMs;
+    const now = readMonotonicClock();
+    const changes = directory.applyListing(upstreams, readStartedAt, now, listingEra, {
+      completeSince,
+    });
     for (const { id, startedAt, heartbeat, era } of snapshot.removals ?? []) {
       directory.mergeRemoval({ id: toId<UpstreamId>(id), startedAt, heartbeat, era });
     }
@@ -222,7 +224,7 @@
   > {
     const { directory } = this.options;
     if (configurationOnly) return { upstreams: [] };
-    const entries = directory.listAll();
+    const entries = directory.listListed();
     if (since === undefined) return { upstreams: entries.map(encodeUpstream) };
     const { id, base, changed, removed } = this.history.computeChange(entries, since);
     const isUnchanged = base !== undefined && removed.length === 0;
--- a/src/process/gateway/storePolling.spec.ts
+++ b/src/process/gateway/storePolling.spec.ts
@@ -58,6 +58,7 @@
       directory,
       evacuations: new ZoneEvacuations({ directory, logger, metrics: new Metrics() }),
       storeEra: new StoreEra(),
+      contact: { recordFailure: discard },
       logger,
       metrics: new Metrics(),
       signal: controller.signal,
--- a/src/process/gateway/storePolling.ts
+++ b/src/process/gateway/storePolling.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from '../metrics.js';
 import type { ConfigurationCache } from './configurationCache.js';
 import type { PollTimer } from './pollTimer.js';
+import type { StoreContact } from './storeContact.js';
 import type { StoreEra } from './storeEra.js';
 import type { StoreRelay } from './storeRelay.js';
 import type {
@@ -31,6 +32,7 @@
   readonly directory: UpstreamDirectory;
   readonly evacuations: ZoneEvacuations;
   readonly storeEra: StoreEra;
+  readonly contact: Pick<StoreContact, 'recordFailure'>;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly signal: AbortSignal;
@@ -96,6 +98,7 @@
     const error = read.isErr() ? read.error : read.value.configurationError;
     if (read.isOk()) evacuationLog.record(read.value.unreadableEvacuations);
     if (error !== undefined) {
+      options.contact.recordFailure(error, options.readClock());
       if (read.isOk()) applyEvacuations(options, read.value, times, false);
       dependency.recordFailure(error);
       await options.queryPeers(false);
@@ -169,14 +172,20 @@
   const { readClock, readMonotonicClock } = options;
   const dependency = new DependencyStatusLog('upstream list', logger, metrics);
   const entryLog = new UnreadableLog('entries in the upstream list', logger);
+  let hasFailed = false;
   while (!signal.aborted) {
     if (options.relay?.isServed === true) {
       await timers.upstreams.wait(POLL_INTERVAL_MS);
       continue;
     }
+    // After a failed read, the loop of the configuration asks the other gateways.
+    if (!hasFailed && directory.needsProof(readClock(), readMonotonicClock()))
+      await options.queryPeers(false);
     const readStartedAt = readClock();
     const read = checkEra(await source.readUpstreams(), options);
+    hasFailed = read.isErr();
     if (read.isErr()) {
+      options.contact.recordFailure(read.error, readClock());
       dependency.recordFailure(read.error);
     } else {
       dependency.recordSuccess();
@@ -187,6 +196,8 @@
         if (change !== 'held') logger.info({ upstream, change }, 'upstream list changed');
       }
       entryLog.record(read.value.unreadable);
+      if (changes.some(({ change }) => change === 'held'))
+        metrics.addCount('listings_with_retained');
       if (changes.length > 0) options.onChange();
       if (changes.some(({ change }) => change !== 'held')) options.onStoreChange?.();
     }
--- a/src/process/gateway/upstreamDirectory.spec.ts
+++ b/src/process/gateway/upstreamDirectory.spec.ts
@@ -151,3 +151,75 @@
     expect(listIds(directory)).to.deep.equal(['a']);
   });
 });
+
+describe('gaps in the reads of the store', () => {
+  const both = [createEntry('a'), createEntry('b', { address: '10.0.0.2:80' })];
+  const [first] = both as [UpstreamEntry, UpstreamEntry];
+  const createDirectory = (): UpstreamDirectory => {
+    const directory = new UpstreamDirectory();
+    directory.applyListing(both, 0, 5);
+    return directory;
+  };
+
+  // Another gateway that knows of the removal would take the upstream up again.
+  it('guards against retained entries that are passed on as listed', () => {
+    const directory = createDirectory();
+    directory.applyListing([first], 5_000, 5_005);
+    expect(listIds(directory)).to.deep.equal(['a', 'b']);
+    expect(directory.listListed().map(({ id }) => id)).to.deep.equal(['a']);
+  });
+
+  // A gateway that relied on a frozen reader has not read the store either, so the gap shows nothing.
+  it('guards against a gap in which no read failed that counts as an outage', () => {
+    const directory = createDirectory();
+    directory.mayHaveMissedOutage = () => false;
+    directory.applyListing([first], 5_000, 5_005);
+    expect(listIds(directory)).to.deep.equal(['a']);
+  });
+
+  it('guards against an own absence that counts as an outage although another gateway has read all the while', () => {
+    const directory = createDirectory();
+    directory.applyListing([first], 5_000, 5_005, 0, { completeSince: -10 });
+    expect(listIds(directory)).to.deep.equal(['a']);
+  });
+
+  // A gateway that has just started, or was absent as well, does not know what has expired.
+  for (const completeSince of [4_000, undefined]) {
+    it(`guards against entries lost on the word of a gateway that has missed the outage too; complete since ${completeSince}`, () => {
+      const directory = createDirectory();
+      directory.applyListing([first], 5_000, 5_005, 0, { completeSince });
+      expect(listIds(directory)).to.deep.equal(['a', 'b']);
+    });
+  }
+
+  it('guards against a retention that goes on although another gateway shows that the store was available', () => {
+    const directory = createDirectory();
+    directory.applyListing([first], 5_000, 5_005);
+    expect(directory.needsProof(5_100, 5_100)).to.equal(true);
+    directory.applyListing([first], 4_900, 5_110, 0, { completeSince: -10 });
+    expect(directory.needsProof(5_120, 5_120)).to.equal(false);
+    directory.applyListing([first], 5_650, 5_655);
+    expect(listIds(directory)).to.deep.equal(['a']);
+  });
+
+  it('guards against a proof of the second of two gaps that counts for the first', () => {
+    const directory = createDirectory();
+    directory.applyListing([first], 5_000, 5_005);
+    directory.applyListing([first], 7_000, 7_005);
+    directory.applyListing([first], 6_900, 7_010, 0, { completeSince: 4_500 });
+    directory.applyListing([first], 7_650, 7_655);
+    expect(listIds(directory)).to.deep.equal(['a', 'b']);
+    directory.applyListing([first], 7_600, 7_660, 0, { completeSince: -10 });
+    directory.applyListing([first], 8_300, 8_305);
+    expect(listIds(directory)).to.deep.equal(['a']);
+  });
+
+  it('guards against a claim to have missed nothing across a gap or a restore of the store', () => {
+    const directory = createDirectory();
+    expect(directory.computeCompleteMs(1_000)).to.equal(1_000);
+    directory.applyListing(both, 5_000, 5_005);
+    expect(directory.computeCompleteMs(5_100)).to.equal(100);
+    directory.applyListing(both, 5_650, 5_655, 1);
+    expect(directory.computeCompleteMs(5_700)).to.equal(50);
+  });
+});
--- a/src/process/gateway/upstreamDirectory.ts
+++ b/src/process/gateway/upstreamDirectory.ts
@@ -3,7 +3,7 @@
 import type { UpstreamStart } from './leavingUpstreams.js';
 import { LeavingUpstreams } from './leavingUpstreams.js';
 
-/** A longer gap between reads means that the store was unavailable; reads are sent every 0.7 s. */
+/** In a shorter gap between reads no entry expires because the store was unavailable; reads are sent every 0.7 s. */
 const OUTAGE_GAP_MS = 1_600;
 /** Entries that expired during an outage are registered again about 2 s after its end. */
 const EXPIRY_GRACE_MS = 2_200;
@@ -24,6 +24,18 @@
   readonly era: number;
 }
 
+/** Reads of another gateway that relays a listing. */
+export interface ListingRelay {
+  /** Since when the other gateway has missed no change; undefined if it does not tell. */
+  readonly completeSince: number | undefined;
+}
+
+/** Time without a read in which entries may have expired because the store was unavailable. */
+interface ReadGap {
+  readonly from: number;
+  readonly to: number;
+}
+
 /** An entry that was removed, and the era of the listing that lacked it. */
 interface Removal {
   readonly entry: UpstreamEntry;
@@ -35,7 +47,8 @@
  *
  * - A listed upstream that has been seen draining stays draining until it restarts, also when a stale read lists it as
  *   active.
- * - Entries that expire during an outage of the store are retained until shortly after it is back.
+ * - Entries that expire during an outage of the store are retained until shortly after it is back. A gap in the own reads
+ *   is no outage if another gateway has read the store meanwhile. Retained entries are not passed on as listed.
  * - A store that was restored from an older copy lists upstreams that have left since, and lacks those that registered
  *   since. The former stay out until their heartbeat or start shows that they have registered again; the latter are
  *   retained as after an outage.
@@ -45,7 +58,10 @@
 export class UpstreamDirectory {
   /** Called with each applied listing, before its upstreams can be chosen. */
   onListing: (entries: readonly UpstreamEntry[], now: number) => void = () => undefined;
+  /** Whether this process may have missed an outage of the store since a time, because its reads failed or it was paused. */
+  mayHaveMissedOutage: (since: number) => boolean = () => true;
   private entries = new Map<UpstreamId, UpstreamEntry>();
+  private known: readonly UpstreamEntry[] = [];
   private listed: readonly UpstreamEntry[] = [];
   /** Entries at whose address another upstream has responded. */
   private readonly replaced = new Map<UpstreamId, UpstreamEntry>();
@@ -53,6 +69,8 @@
   private excludedZones: ReadonlySet<AvailabilityZoneId> = new Set();
   private readonly byService = new Map<ServiceId, UpstreamEntry[]>();
   private lastReadAt: number | undefined;
+  private completeSince = Infinity;
+  private gap: ReadGap | undefined;
   private retainUntil = -Infinity;
   private restoreGraceUntil = -Infinity;
   /** Era of the last applied listing; 0 for a store that does not report it. */
@@ -75,6 +93,15 @@
    * @returns Entries in no particular order; a new array after each listing
    */
   listAll(): readonly UpstreamEntry[] {
+    return this.known;
+  }
+
+  /**
+   * Lists the upstreams of the last listing, draining ones included, without retained ones.
+   *
+   * @returns Entries in no particular order; a new array after each listing
+   */
+  listListed(): readonly UpstreamEntry[] {
     return this.listed;
   }
 
@@ -98,6 +125,28 @@
     return now - (this.lastReadAt ?? -Infinity);
   }
 
+  /**
+   * Computes for how long this gateway has missed no change.
+   *
+   * @param now - Current time in milliseconds
+   * @returns Milliseconds since the first of the reads without a gap; negatively infinite before the first one
+   */
+  computeCompleteMs(now: number): number {
+    return now - this.completeSince;
+  }
+
+  /**
+   * Checks whether other gateways should be asked if they have read the store while this one has not.
+   *
+   * @param now - Current time in milliseconds
+   * @param monotonicNow - Current time on the monotonic clock, in milliseconds
+   */
+  needsProof(now: number, monotonicNow: number): boolean {
+    if (this.lastReadAt === undefined) return false;
+    if (this.gap !== undefined && monotonicNow < this.retainUntil) return true;
+    return now - this.lastReadAt > OUTAGE_GAP_MS && this.mayHaveMissedOutage(this.lastReadAt);
+  }
+
   /**
    * Applies a complete listing; one of an older era, or older than the last applied of the same era, is ignored.
    *
@@ -105,7 +154,7 @@
    * @param readStartedAt - When the read was sent, milliseconds
    * @param now - Current time on the monotonic clock, in milliseconds
    * @param era - Era of the store; rises each time it is restored from an older copy
-   * @param isRelayed - Whether it is the listing of another gateway, which already has what an outage has hidden
+   * @param relay - Given if another gateway has read it
    * @returns Changes since the previous listing
    */
   applyListing(
@@ -113,23 +162,28 @@
     readStartedAt: number,
     now: number,
     era = 0,
-    isRelayed = false,
+    relay?: ListingRelay,
   ): DirectoryChange[] {
-    // A listing received from a peer may be older than the last one applied.
     if (this.lastReadAt !== undefined) {
+      if (era === this.era) this.closeGap(relay, readStartedAt);
+      // A listing received from a peer may be older than the last one applied.
       if (era < this.era || (era === this.era && readStartedAt < this.lastReadAt)) return [];
-      const isOutage = !isRelayed && readStartedAt - this.lastReadAt > OUTAGE_GAP_MS;
-      if (isOutage || era > this.era) this.retainUntil = now + EXPIRY_GRACE_MS;
-      if (era > this.era) this.restoreGraceUntil = now + EXPIRY_GRACE_MS;
+      if (era > this.era) {
+        this.restoreGraceUntil = now + EXPIRY_GRACE_MS;
+        this.completeSince = readStartedAt;
+      }
+      this.observeGap({ from: this.lastReadAt, to: readStartedAt }, now, relay);
     }
+    this.completeSince = Math.min(this.completeSince, readStartedAt);
     this.lastReadAt = readStartedAt;
     this.era = era;
     const changes: DirectoryChange[] = [];
-    const next = new Map<UpstreamId, UpstreamEntry>();
+    const current = new Map<UpstreamId, UpstreamEntry>();
     for (const entry of listed) {
       if (this.isOutdated(entry, now)) continue;
-      next.set(entry.id, this.mergeEntry(entry, changes));
+      current.set(entry.id, this.mergeEntry(entry, changes));
     }
+    const next = new Map(current);
     for (const [id, entry] of this.entries) {
       if (next.has(id)) continue;
       const isRetained =
@@ -139,8 +193,9 @@
       changes.push({ upstream: id, change: isRetained ? 'held' : 'removed' });
     }
     this.entries = next;
-    this.listed = [...next.values()];
-    this.onListing(this.listed, now);
+    this.known = [...next.values()];
+    this.listed = [...current.values()];
+    this.onListing(this.known, now);
     this.indexByService();
     return changes;
   }
@@ -214,6 +269,26 @@
     this.indexByService();
   }
 
+  /** Retains what may have expired in a gap between two reads, unless another gateway has missed no change in it. */
+  private observeGap(gap: ReadGap, now: number, relay: ListingRelay | undefined): void {
+    if (gap.to - gap.from <= OUTAGE_GAP_MS || !this.mayHaveMissedOutage(gap.from)) return;
+    if ((relay?.completeSince ?? Infinity) <= gap.from) return;
+    const earlier = now < this.retainUntil ? this.gap : undefined;
+    this.gap = { from: earlier?.from ?? gap.from, to: gap.to };
+    this.completeSince = gap.to;
+    this.retainUntil = now + EXPIRY_GRACE_MS;
+  }
+
+  /** Ends the retention if another gateway has missed no change in the gap that led to it. */
+  private closeGap(relay: ListingRelay | undefined, readStartedAt: number): void {
+    if (this.gap === undefined || relay?.completeSince === undefined) return;
+    const { from, to } = this.gap;
+    if (relay.completeSince > from || readStartedAt < to - OUTAGE_GAP_MS) return;
+    this.gap = undefined;
+    this.completeSince = relay.completeSince;
+    this.retainUntil = -Infinity;
+  }
+
   private mergeEntry(entry: UpstreamEntry, changes: DirectoryChange[]): UpstreamEntry {
     const previous = this.entries.get(entry.id);
     if (previous === undefined) {
--- a/src/process/pauseDetector.ts
+++ b/src/process/pauseDetector.ts
@@ -59,6 +59,17 @@
     return this.computeEarliestArrival(now) < now;
   }
 
+  /**
+   * Checks for a pause since a time.
+   *
+   * @param since - Start of the period, in milliseconds
+   * @param now - Current time in milliseconds
+   */
+  hasPausedSince(since: number, now: number): boolean {
+    this.checkForPause(now);
+    return this.resumedAt > since;
+  }
+
   private checkForPause(now: number): void {
     if (now - this.lastTickAt < this.minPauseMs) return;
     this.pausedSince = this.lastTickAt;
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -310,6 +310,8 @@
     .optional(),
   /** Era of the store in which the listing was read. */
   listingEra: count.optional(),
+  /** For how long the sender has missed no change of the list. */
+  listingCompleteMs: z.number().nonnegative().optional(),
   /** Id of the sender's listing, if the query named a listing. */
   listing: z.string().max(MAX_LISTING_ID_LENGTH).optional(),
   /** Listing that `upstreams` changes; without it, `upstreams` is complete. */
