--- a/src/process/gateway/peerSnapshots.ts
+++ b/src/process/gateway/peerSnapshots.ts
@@ -1,5 +1,6 @@
 import type { AvailabilityZoneId, ServiceId, UpstreamId } from '../../ids.js';
 import { toId } from '../../ids.js';
+import { isAddress } from '../../connection/address.js';
 import type { Logger } from '../logging.js';
 import type { Metrics } from '../metrics.js';
 import type { ConfigurationCache } from './configurationCache.js';
@@ -169,7 +170,9 @@
     const { directory, logger, readClock, readMonotonicClock, onUpstreamStarted } = this.options;
     const listed = this.assembleListing(snapshot, sender);
     if (listed === undefined) return;
-    const upstreams = listed.map((entry) => ({
+    // A gateway of an earlier version passes on entries that name no usable address.
+    const usable = listed.filter(({ address }) => isAddress(address));
+    const upstreams = usable.map((entry) => ({
       ...entry,
       id: toId<UpstreamId>(entry.id),
       service: toId<ServiceId>(entry.service),
--- a/src/request/forwarding/upstreamExchange.ts
+++ b/src/request/forwarding/upstreamExchange.ts
@@ -48,7 +48,7 @@
  * upstream while idle, and cannot be stale. The cost is one round trip.
  */
 export class UpstreamExchange {
-  private readonly client: Client;
+  private client: Client | undefined;
   private socket: Socket | undefined;
   private hasReset = false;
   private hasEnded = false;
@@ -62,14 +62,6 @@
     private readonly events: ExchangeEvents,
   ) {
     this.framing = new FramingMeter(request.maxFramingBytes);
-    this.client = new Client(`http://${request.address}`, {
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      connect: (_options, callback) => {
-        this.openSocket(callback);
-      },
-    });
   }
 
   /** Sends the request. */
@@ -97,9 +89,17 @@
         this.finish(false, error);
       },
     };
-    const { method, path, headers, body } = this.request;
+    const { address, method, path, headers, body } = this.request;
     try {
-      this.client.dispatch({ method: method, path, headers, body: body ?? null }, handler);
+      this.client = new Client(`http://${address}`, {
+        pipelining: 1,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        connect: (_options, callback) => {
+          this.openSocket(callback);
+        },
+      });
+      this.client.dispatch({ method, path, headers, body: body ?? null }, handler);
     } catch (error) {
       this.finish(false, error instanceof Error ? error : new Error(String(error)));
     }
@@ -167,6 +167,6 @@
 
   private close(): void {
     this.socket?.destroy();
-    void this.client.destroy().catch(() => undefined);
+    void this.client?.destroy().catch(() => undefined);
   }
 }
