fix: a link to an address to which no connection can be opened fails without an exception

Cause: the port of an address is checked by the socket library, which throws. The exception left the loop that keeps a link as a rejected promise; more than 20 of them in 10 s end the process. Gateways pass addresses on in their counts, so one odd frame reached all of them; entries, agents and rankers open links in the same way. Change: openLink returns an error for such an address; gateways neither connect to it nor pass it on.

--- a/src/connection/handshake.ts
+++ b/src/connection/handshake.ts
@@ -8,7 +8,8 @@
 import { PeerLink } from './peerLink.js';
 
 export interface HandshakeError {
-  readonly code: 'hello_timeout' | 'closed' | 'version_mismatch' | 'protocol_error';
+  readonly code:
+    'hello_timeout' | 'closed' | 'version_mismatch' | 'protocol_error' | 'invalid_address';
   readonly message: string;
 }
 
--- a/src/connection/linkClient.ts
+++ b/src/connection/linkClient.ts
@@ -5,6 +5,7 @@
 import type { Result } from 'ts-results-es';
 import { Err } from 'ts-results-es';
 import { defaults } from '../defaults.js';
+import { isAddress } from './address.js';
 import type { HandshakeError } from './handshake.js';
 import { performHandshake } from './handshake.js';
 import type { CloseReason, Hello, PeerLink, PeerLinkOptions } from './peerLink.js';
@@ -45,6 +46,12 @@
 export async function openLink(
   options: LinkClientOptions,
 ): Promise<Result<PeerLink, HandshakeError>> {
+  if (!isAddress(options.address)) {
+    return Err({
+      code: 'invalid_address',
+      message: `no connection to ${options.address} possible`,
+    });
+  }
   const { host, port } = parseAddress(options.address);
   const socket: Socket =
     options.tls === undefined
--- a/src/connection/peerLink.spec.ts
+++ b/src/connection/peerLink.spec.ts
@@ -103,4 +103,13 @@
     server.close();
     expect(opened.isErr() && opened.error.code).to.equal('version_mismatch');
   });
+
+  // The exception of the library ended the loop that keeps the link, or the process after twenty of them.
+  for (const address of ['127.0.0.1:99999', '127.0.0.1:0', '999.1.1.1:80', 'none']) {
+    it(`guards against an exception for an address to which no link can be opened; address: ${address}`, async () => {
+      const self = (): Hello => createHello('client');
+      const opened = await openLink({ address, self, handlers: {} });
+      expect(opened.isErr() && opened.error.code).to.equal('invalid_address');
+    });
+  }
 });
--- a/src/process/gateway/gatewayPeers.ts
+++ b/src/process/gateway/gatewayPeers.ts
@@ -1,4 +1,5 @@
 import type { CloseReason, Hello, MessageHandlers, PeerLink } from '../../connection/peerLink.js';
+import { isAddress } from '../../connection/address.js';
 import { maintainLink } from '../../connection/linkClient.js';
 import { encodeFrame } from '../../connection/frameCodec.js';
 import { LinkServer } from '../../connection/linkServer.js';
@@ -223,6 +224,7 @@
   private connect(address: string): void {
     const { options } = this;
     if (this.knownAddresses.has(address) || address === options.address) return;
+    if (!isAddress(address)) return;
     this.knownAddresses.add(address);
     this.lastSeenAt.set(address, options.readClock());
     if (address < options.address && !options.seeds.includes(address)) return;
@@ -244,7 +246,7 @@
     const { processId, host, features } = link.peer;
     const { balancer, topics, readClock } = this.options;
     this.links.set(processId, link);
-    this.knownAddresses.add(host);
+    if (isAddress(host)) this.knownAddresses.add(host);
     this.lastSeenAt.set(host, Infinity);
     this.lastSentCounts = '';
     this.addressesSentAt = -Infinity;
