fix: a coordinator ignores the status of a rank whose number is too large for its group

Cause: the roster of a group is a list indexed by rank, and is copied when it has as many engines as the group has ranks. A rank number of 1e9 in one status took all memory of the ranker. After: such a status is ignored; the sound one that follows it counts.

--- a/src/process/ranker/groupLinks.ts
+++ b/src/process/ranker/groupLinks.ts
@@ -124,6 +124,8 @@
             controller.abort();
             return;
           }
+          // The roster and the view are indexed by rank.
+          if (message.report.rank >= this.view.size) return;
           linkedRank = message.report.rank;
           this.roster.setEngine(linkedRank, engineAddress);
           this.roster.sendTo(link);
