fix: a message type that is no text is a malformed frame

Cause: the type was converted to text, which throws for an object with an odd `toString` and calls into nested lists. Evidence, on: frameCodec.spec.ts: TypeError: Cannot convert object to primitive value; for a list and a number another error code.

--- a/src/connection/frameCodec.ts
+++ b/src/connection/frameCodec.ts
@@ -48,7 +48,10 @@
       message: 'frame body is not an object with a message type',
     });
   }
-  const type = String(value.type);
+  const { type } = value;
+  if (typeof type !== 'string') {
+    return Err({ code: 'frame_malformed', message: 'message type is not a text' });
+  }
   const schema = Object.hasOwn(messageRegistry, type) ? messageRegistry[type] : undefined;
   if (schema === undefined) {
     return Err({ code: 'unknown_message', message: `unknown message type ${type.slice(0, 64)}` });
