test: very deeply nested states of tickets are refused

Other operators report readers of a list that ended or stopped to follow it after such a value. It cannot happen here: the schemas of states refuse unknown fields and other types before anything walks the value.

--- a/src/version/configuration/configurationStore.spec.ts
+++ b/src/version/configuration/configurationStore.spec.ts
@@ -89,4 +89,18 @@
       { seed: 2, numRuns: 300 },
     );
   });
+
+  // An exception here would end the loop that reads the platform, so that later tickets were not followed.
+  it('guards against an exception for a state that is very deeply nested', () => {
+    const store = new ConfigurationStore();
+    store.mergeObjects([workspace('a', 1)]);
+    const extra: unknown = JSON.parse('['.repeat(100_000) + ']'.repeat(100_000));
+    const { state } = workspace('a', 2);
+    const odd = [{ ...(state as object), extra }, { ...(state as object), shares: extra }, extra];
+    const objects = odd.map((nested) => ({ ...workspace('a', 2), state: nested }));
+    const { refused } = store.mergeObjects([...objects, workspace('b', 3)]);
+    expect(refused.map(({ key }) => key)).to.deep.equal(odd.map(() => 'workspace/a'));
+    const held = store.listObjects().map(({ key, ticket }) => `${key} ${ticket}`);
+    expect(held.sort()).to.deep.equal(['workspace/a 1', 'workspace/b 3']);
+  });
 });
