fix: a response that is written once more on a kept connection answers no later request

Reported by other operators: a refusal that was repeated on a kept connection told clients "not run" for requests that ran.

--- a/src/client/callerClient.ts
+++ b/src/client/callerClient.ts
@@ -229,7 +229,7 @@
     const path = `/v1/services/${service}/orders/${order}`;
     return async (method) => {
       const exchange: Exchange = method === 'PUT' ? { method, path, body } : { method, path };
-      return (await this.send(exchange)).andThen(({ text }) => parseOutcome(text));
+      return (await this.send(exchange)).andThen(({ text }) => parseOutcome(text, order));
     };
   }
 
--- a/src/client/entryExchange.ts
+++ b/src/client/entryExchange.ts
@@ -62,6 +62,8 @@
   if (exchange.deadlineMs !== undefined) headers['x-deadline-ms'] = String(exchange.deadlineMs);
   return request(exchange.url, {
     method: exchange.method,
+    // A repeated or late answer on a kept connection would count as the answer to the next request.
+    reset: true,
     headers,
     body: exchange.body ?? null,
     dispatcher: exchange.dispatcher,
--- a/src/client/orderWire.ts
+++ b/src/client/orderWire.ts
@@ -39,11 +39,12 @@
  * Parses the response to a PUT, GET or DELETE of an order.
  *
  * @param text - JSON body
- * @returns Outcome of the order
+ * @param order - Id of the order that was asked for
+ * @returns Outcome of the order; an error if the response is about another one
  */
-export function parseOutcome(text: string): Result<OrderOutcome, CallerError> {
+export function parseOutcome(text: string, order: string): Result<OrderOutcome, CallerError> {
   const parsed = outcomeSchema.safeParse(parseJson(text));
-  if (!parsed.success) return Err(createSchemaError('an order outcome', text));
+  if (parsed.data?.id !== order) return Err(createSchemaError(`the outcome of ${order}`, text));
   const { id, state, reason, status, body, final } = parsed.data;
   return Ok({ order: id, state, reason, status, answer: formatAnswer(body), final });
 }
--- a/src/process/agent/upstreams/engine.ts
+++ b/src/process/agent/upstreams/engine.ts
@@ -64,6 +64,8 @@
   ) =>
     request(`${url}${path}`, {
       method: 'POST',
+      // A repeated or late answer on a kept connection would count as the answer to the next request.
+      reset: true,
       dispatcher: requestDispatcher,
       signal,
       headers: { 'content-type': 'application/json' },
@@ -118,7 +120,7 @@
   const readLoad = async (timeoutMs: number): Promise<UpstreamLoad | undefined> => {
     try {
       const signal = AbortSignal.timeout(timeoutMs);
-      const answer = await request(`${url}/v1/load`, { dispatcher, signal });
+      const answer = await request(`${url}/v1/load`, { reset: true, dispatcher, signal });
       return loadSchema.parse(JSON.parse(await readBoundedText(answer.body, MAX_PROBE_BYTES)));
     } catch {
       return undefined;
--- a/src/process/group/engineClient.ts
+++ b/src/process/group/engineClient.ts
@@ -29,7 +29,10 @@
   lastFailure: string | undefined;
   /** State read after the last command; undefined until that read completes. */
   private state: EngineMap | undefined;
-  /** One connection without pipelining, so that the engine handles calls in order. */
+  /**
+   * One connection at a time without pipelining, so that the engine handles calls in order. No connection is used again:
+   * a repeated or late answer would count as the answer to the next call.
+   */
   private readonly commandDispatcher = new Agent({ connections: 1, pipelining: 1 });
   /** Separate connections for loading, which takes long, needs no order and must not delay commands. */
   private readonly bulkDispatcher = new Agent();
@@ -127,6 +130,7 @@
     try {
       const { statusCode, body } = await request(`${this.url}/v1/commands`, {
         method: 'POST',
+        reset: true,
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify(command),
         dispatcher,
@@ -151,6 +155,7 @@
   ): Promise<Value | undefined> {
     try {
       const { statusCode, body } = await request(`${this.url}${path}`, {
+        reset: true,
         dispatcher,
         headersTimeout: REQUEST_TIMEOUT_MS,
         bodyTimeout: REQUEST_TIMEOUT_MS,
