test: streams that break off before another upstream answers with an error

Reported by other operators: the text of the error, at times its head, in the middle of a stream, or a stream that ended as if it were complete. Nothing was changed in the product.

--- a/test/support/pair.ts
+++ b/test/support/pair.ts
@@ -28,9 +28,13 @@
  * Starts an entry and an agent and waits until they are linked.
  *
  * @param tls - Certificates for mutual TLS between entry and agent; plain TCP when absent
+ * @param engineUrl - Engine of the test in place of the stand-in
  * @returns The running entry and agent
  */
-export async function startEntryAgentPair(tls?: TlsMaterial): Promise<EntryAgentPair> {
+export async function startEntryAgentPair(
+  tls?: TlsMaterial,
+  engineUrl?: string,
+): Promise<EntryAgentPair> {
   const engine = await startEngine();
   const configuration = new MemoryConfiguration();
   configuration.putWorkspace(WORKSPACE, getExampleToken(WORKSPACE), { [SERVICE]: 1 });
@@ -51,7 +55,7 @@
       processId: 'agent-1',
       upstream: UPSTREAM,
       service: SERVICE,
-      upstreamUrl: engine.url,
+      upstreamUrl: engineUrl ?? engine.url,
       slots: 4,
     },
     { configuration, logger: createLogger('agent-1'), metrics: new Metrics() },
