fix: the agent counts a response without a length as complete only if its service has outlived it

Evidence, truncatedResponses.spec.ts on: call: expected 'failed', got 'done'; order: expected 'unknown', got 'done'. Change: the same witness as at the gateway; a call fails as a possible crash, an order is unknown. After: all specs of agent and group, and orders.spec.ts, 64 passing. Looked at, nothing to change: the chat stream of an entry has an end mark, its other responses a length; the engine's tokens have an end mark; the caller client requires both.

--- a/src/connection/processWitness.ts
+++ b/src/connection/processWitness.ts
@@ -3,7 +3,10 @@
 import { setImmediate as waitForTurn } from 'node:timers/promises';
 import { parseAddress } from './linkClient.js';
 import { probeListener } from './probeListener.js';
+import { bodylessStatuses, isFramed } from './responseFraming.js';
 
+/** Ports of URLs that name none, by their protocol. */
+const defaultPorts: Readonly<Record<string, number>> = { 'http:': 80, 'https:': 443 };
 const CONNECT_TIMEOUT_MS = 400;
 /** An upstream may close an idle connection; each one that it closes is replaced, up to this number. */
 const MAX_CONNECTIONS = 8;
@@ -95,3 +98,29 @@
     });
   }
 }
+
+/** Exchange with an upstream whose response may need a witness. */
+export interface WitnessedExchange {
+  /** URL of the upstream. */
+  readonly url: string;
+  readonly hasPaused: () => boolean;
+}
+
+/**
+ * Creates a witness for a response that only the end of its connection ends.
+ *
+ * @param exchange - Exchange that the response belongs to
+ * @param status - Status of the response
+ * @param headers - Headers of the response, with lower-case names
+ * @returns The witness; undefined if the response states where it ends
+ */
+export function createWitness(
+  { url, hasPaused }: WitnessedExchange,
+  status: number,
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): ProcessWitness | undefined {
+  if (isFramed(headers) || bodylessStatuses.has(status)) return undefined;
+  const { hostname, port, protocol } = new URL(url);
+  const address = `${hostname}:${port === '' ? defaultPorts[protocol] : port}`;
+  return new ProcessWitness({ address, hasPaused });
+}
--- a/src/process/agent/agentDaemon.ts
+++ b/src/process/agent/agentDaemon.ts
@@ -14,6 +14,7 @@
 import type { LoadState } from './loadReport.js';
 import { LoadReporter } from './loadReport.js';
 import { OrderMemory } from './orderMemory.js';
+import { PauseDetector } from '../pauseDetector.js';
 import { OrderRunner } from './orderRunner.js';
 import { ProgressMonitor } from './progressMonitor.js';
 import { RequestRunner } from './requestRunner.js';
@@ -26,6 +27,8 @@
 export type { AgentDependencies, Distribution } from './types.js';
 
 const UPDATE_INTERVAL_MS = 50;
+/** Processes take longer to start again at their address. */
+const MIN_PAUSE_MS = 250;
 const DRAIN_POLL_INTERVAL_MS = 20;
 /** Attempts at an upstream that stopped accepting fail after this delay, so that entries can resume them elsewhere. */
 const STALL_ABORT_DELAY_MS = 500;
@@ -64,6 +67,7 @@
   private memory: OrderMemory | undefined;
   private adapter: UpstreamAdapter | undefined;
   private timer: NodeJS.Timeout | undefined;
+  private readonly pauses = new PauseDetector(readClock(), MIN_PAUSE_MS);
   private draining = false;
   private drainStartedAt = 0;
   private closeOperatorServer: () => void = () => undefined;
@@ -150,6 +154,7 @@
       metrics: dependencies.metrics,
       readClock,
       upstreamUrl: options.upstreamUrl,
+      hasPaused: () => this.hasPaused(),
       caller: `${options.host}/${this.incarnation}`,
       getMaxOrderSlots: (workspace) => this.policy.getMaxOrderSlots(workspace),
       checkAdmission: (service) => this.policy.checkSlotRequest(service, this.state),
@@ -258,7 +263,12 @@
     void runHealthChecks(healthCheck);
   }
 
+  private hasPaused(): boolean {
+    return this.pauses.hasPaused(readClock());
+  }
+
   private update(now: number): void {
+    this.pauses.recordTick(now);
     const wasAccepting = this.progressMonitor.accepting;
     const isEngine = this.policy.kind === 'engine';
     // A plain service reports no progress during a call, so only its reachability is checked.
@@ -307,7 +317,7 @@
   private getOrCreateAdapter(): UpstreamAdapter | undefined {
     const { kind } = this.policy;
     if (this.adapter === undefined && kind !== undefined && !this.stopController.signal.aborted) {
-      this.adapter = adapterFactories[kind](this.options.upstreamUrl);
+      this.adapter = adapterFactories[kind](this.options.upstreamUrl, () => this.hasPaused());
     }
     return this.adapter;
   }
--- a/src/process/agent/orderMemory.spec.ts
+++ b/src/process/agent/orderMemory.spec.ts
@@ -103,6 +103,7 @@
 describe('order exchange', () => {
   const send = (url: string, claim: () => boolean): Promise<SendResult> =>
     sendOrder({
+      hasPaused: () => false,
       url,
       order: 'ord_1',
       body: Buffer.from('{}'),
--- a/src/process/agent/orderRunner.spec.ts
+++ b/src/process/agent/orderRunner.spec.ts
@@ -45,6 +45,7 @@
     metrics: new Metrics(),
     readClock,
     upstreamUrl: plain.url,
+    hasPaused: () => false,
     caller: 'h1/i1',
     getMaxOrderSlots: () => 10,
     checkAdmission: () => undefined,
--- a/src/process/agent/orderRunner.ts
+++ b/src/process/agent/orderRunner.ts
@@ -15,6 +15,8 @@
   readonly metrics: Metrics;
   readonly readClock: () => number;
   readonly upstreamUrl: string;
+  /** Whether this process was paused shortly before. */
+  readonly hasPaused: () => boolean;
   readonly caller: string;
   readonly getMaxOrderSlots: (workspace: string) => number;
   /** Returns an error when no slots may be issued for the service. */
@@ -204,7 +206,7 @@
   }
 
   private async run(message: MessageOf<'orderPut'>, expiresAt: number): Promise<'finished'> {
-    const { memory, readClock, upstreamUrl, caller, metrics } = this.context;
+    const { memory, readClock, upstreamUrl, hasPaused, caller, metrics } = this.context;
     const { order, body } = message;
     const abort = new AbortController();
     this.queuedCount -= 1;
@@ -214,6 +216,7 @@
       order,
       body,
       caller,
+      hasPaused,
       signal: abort.signal,
       claim: () => {
         const now = readClock();
--- a/src/process/agent/upstreams/failure.ts
+++ b/src/process/agent/upstreams/failure.ts
@@ -1,3 +1,4 @@
+import { errors } from 'undici';
 import type { ExchangeResult } from './types.js';
 
 /** Errors raised before a connection was established, so nothing can have reached the upstream. */
@@ -57,10 +58,11 @@
   }
   const started = !isConnectError(error);
   const code = readErrorCode(error);
+  const reason = isTruncation(error) ? 'response was truncated' : code || 'unknown error';
   const message = started
-    ? `connection to the upstream was lost (${code || 'unknown error'})`
+    ? `connection to the upstream was lost (${reason})`
     : `could not connect to the upstream (${code})`;
-  const possibleCrash = started && CONNECTION_LOST_CODES.has(code);
+  const possibleCrash = started && (CONNECTION_LOST_CODES.has(code) || isTruncation(error));
   return {
     kind: 'failed',
     code: 'upstream_failed',
@@ -70,3 +72,8 @@
     unreachable: true,
   };
 }
+
+/** The parser states no code if the connection ends within a response after which it would have been closed. */
+function isTruncation(error: unknown): boolean {
+  return error instanceof errors.HTTPParserError && readErrorCode(error) === '';
+}
--- a/src/process/agent/upstreams/orderExchange.ts
+++ b/src/process/agent/upstreams/orderExchange.ts
@@ -1,4 +1,6 @@
 import { Client } from 'undici';
+import { createWitness } from '../../../connection/processWitness.js';
+import type { ProcessWitness } from '../../../connection/processWitness.js';
 import { createObservedConnector } from '../../../connection/observedConnector.js';
 import { defaults } from '../../../defaults.js';
 import type { OrderOutcome } from '../orderMemory.js';
@@ -11,6 +13,8 @@
   readonly caller: string;
   /** Claims the only run. Called in the same event loop turn as the write; on false, nothing is written. */
   readonly claim: () => boolean;
+  /** Whether this process was paused shortly before. */
+  readonly hasPaused: () => boolean;
   /** Aborts the exchange; the outcome is then `unknown` if the claim was granted. */
   readonly signal: AbortSignal;
 }
@@ -50,6 +54,7 @@
     let abort: ((reason: Error) => void) | undefined;
     const finish = (end: SendResult): void => {
       exchange.signal.removeEventListener('abort', onAbort);
+      witness?.close();
       resolve(end);
       client.destroy().catch(() => undefined);
     };
@@ -59,6 +64,7 @@
     };
     exchange.signal.addEventListener('abort', onAbort, { once: true });
 
+    let witness: ProcessWitness | undefined;
     let status = 0;
     let refused = false;
     let size = 0;
@@ -86,6 +92,7 @@
         },
         onResponseStart: (_controller, statusCode, headers) => {
           status = statusCode;
+          witness = createWitness(exchange, statusCode, headers);
           refused = statusCode === 503 && headers['x-not-run'] === 'true';
         },
         onResponseData: (controller, data) => {
@@ -113,7 +120,12 @@
           }
           const body = new Uint8Array(Buffer.concat(parts));
           const outcome: OrderOutcome = { state: 'done', reason: '', status, body };
-          finish({ kind: 'ended', outcome });
+          const settle = (isComplete: boolean): void => {
+            if (isComplete) finish({ kind: 'ended', outcome });
+            else finish(createNoResponseResult(claimed, 'response ended with its upstream'));
+          };
+          if (witness === undefined) settle(true);
+          else void witness.confirm().then(settle);
         },
         onResponseError: (_controller, error) => {
           finish(createNoResponseResult(claimed, error.message));
--- a/src/process/agent/upstreams/plain.ts
+++ b/src/process/agent/upstreams/plain.ts
@@ -9,9 +9,10 @@
  * Creates the adapter for ordinary HTTP services.
  *
  * @param url - Base URL of the service
+ * @param hasPaused - Whether this process was paused shortly before
  * @returns The adapter
  */
-export function createPlainAdapter(url: string): UpstreamAdapter {
+export function createPlainAdapter(url: string, hasPaused: () => boolean): UpstreamAdapter {
   const dispatcher = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
 
   const run = async (exchange: Exchange): Promise<ExchangeResult> => {
@@ -21,6 +22,7 @@
         url: `${url}/calls`,
         body: exchange.body,
         signal,
+        hasPaused,
       });
       if (status === REFUSED_STATUS) {
         const message = 'service refused the call';
--- a/src/process/agent/upstreams/registry.ts
+++ b/src/process/agent/upstreams/registry.ts
@@ -4,8 +4,9 @@
 import type { UpstreamAdapter } from './types.js';
 
 /** Adapters by service kind. */
-export const adapterFactories: Readonly<Record<Service['kind'], (url: string) => UpstreamAdapter>> =
-  {
-    engine: createEngineAdapter,
-    plain: createPlainAdapter,
-  };
+export const adapterFactories: Readonly<
+  Record<Service['kind'], (url: string, hasPaused: () => boolean) => UpstreamAdapter>
+> = {
+  engine: createEngineAdapter,
+  plain: createPlainAdapter,
+};
--- a/src/process/agent/upstreams/sendDedicated.ts
+++ b/src/process/agent/upstreams/sendDedicated.ts
@@ -1,4 +1,6 @@
 import { Client, errors } from 'undici';
+import { createWitness } from '../../../connection/processWitness.js';
+import type { ProcessWitness } from '../../../connection/processWitness.js';
 import { createObservedConnector } from '../../../connection/observedConnector.js';
 import { defaults } from '../../../defaults.js';
 
@@ -7,6 +9,8 @@
   readonly body: Uint8Array;
   /** Closes the connection. */
   readonly signal: AbortSignal;
+  /** Whether this process was paused shortly before. */
+  hasPaused(): boolean;
 }
 
 export interface CompleteResponse {
@@ -16,7 +20,7 @@
 
 /**
  * Posts JSON on a connection of its own. A late second response to an earlier request cannot arrive on it, and a body
- * without a length that a reset cuts is told from a complete one.
+ * without a length that a reset or the end of the upstream cuts is told from a complete one.
  *
  * @param post - Upstream and body
  * @returns Complete response
@@ -24,6 +28,7 @@
  */
 export async function sendDedicated(post: DedicatedRequest): Promise<CompleteResponse> {
   let hasReset = false;
+  let witness: ProcessWitness | undefined;
   const { origin, pathname, search } = new URL(post.url);
   const client = new Client(origin, {
     pipelining: 1,
@@ -53,16 +58,24 @@
         },
         {
           onRequestStart: () => undefined,
-          onResponseStart: (_controller, statusCode) => {
+          onResponseStart: (_controller, statusCode, headers) => {
             status = statusCode;
+            witness = createWitness(post, statusCode, headers);
           },
           onResponseData: (_controller, data) => {
             parts.push(data);
           },
           onResponseEnd: () => {
-            if (hasReset)
+            if (hasReset) {
               reject(new errors.SocketError('connection was reset within the response'));
-            else resolve({ status, body: new Uint8Array(Buffer.concat(parts)) });
+              return;
+            }
+            const settle = (isComplete: boolean): void => {
+              if (isComplete) resolve({ status, body: new Uint8Array(Buffer.concat(parts)) });
+              else reject(new errors.SocketError('response ended with its upstream'));
+            };
+            if (witness === undefined) settle(true);
+            else void witness.confirm().then(settle);
           },
           onResponseError: (_controller, error) => {
             reject(error);
@@ -72,6 +85,7 @@
     });
   } finally {
     post.signal.removeEventListener('abort', close);
+    witness?.close();
     close();
   }
 }
--- a/src/process/agent/upstreams/truncatedResponses.spec.ts
+++ b/src/process/agent/upstreams/truncatedResponses.spec.ts
@@ -1,11 +1,14 @@
 import { expect } from 'chai';
 import type { Socket } from 'node:net';
-import type { RawWorker } from '../../../../test/standins/rawWorker.js';
+import type { RawRequest, RawWorker } from '../../../../test/standins/rawWorker.js';
 import { startRawWorker } from '../../../../test/standins/rawWorker.js';
 import { sendOrder } from './orderExchange.js';
 import { createPlainAdapter } from './plain.js';
 
 const RESET_DELAY_MS = 20;
+
+type Respond = (socket: Socket, request: RawRequest, worker: RawWorker) => void;
+
 const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n';
 
 /** Sends the first part of a body without a length, then resets the connection. */
@@ -14,6 +17,12 @@
   setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
 }
 
+/** Sends the first part of a body without a length; the process ends with it, and its connections end in order. */
+function respondAndDie(socket: Socket, _request: RawRequest, worker: RawWorker): void {
+  socket.write(`${HEAD}{"paid":`);
+  worker.die();
+}
+
 /** Sends a whole body without a length, which ends with the connection. */
 function respondWhole(socket: Socket): void {
   socket.end(`${HEAD}{"paid":1}`);
@@ -25,9 +34,17 @@
     await upstream?.close();
   });
 
-  const call = async (respond: (socket: Socket) => void) => {
-    upstream = await startRawWorker('u-0', respond);
-    const adapter = createPlainAdapter(upstream.url);
+  const hasPaused = (): boolean => false;
+  const startUpstream = async (respond: Respond): Promise<RawWorker> => {
+    const worker = await startRawWorker('u-0', (socket, request) => {
+      respond(socket, request, worker);
+    });
+    upstream = worker;
+    return worker;
+  };
+  const call = async (respond: Respond) => {
+    const { url } = await startUpstream(respond);
+    const adapter = createPlainAdapter(url, hasPaused);
     const result = await adapter.run({
       id: 'c-1',
       body: Buffer.from('{}'),
@@ -41,14 +58,15 @@
     await adapter.close();
     return result;
   };
-  const order = async (respond: (socket: Socket) => void) => {
-    upstream = await startRawWorker('u-0', respond);
+  const order = async (respond: Respond) => {
+    const { url } = await startUpstream(respond);
     return sendOrder({
-      url: upstream.url,
+      url,
       order: 'o-1',
       body: Buffer.from('{}'),
       caller: 'h1/i1',
       claim: () => true,
+      hasPaused,
       signal: AbortSignal.timeout(2_000),
     });
   };
@@ -66,4 +84,26 @@
     await upstream?.close();
     expect(await order(respondWhole)).to.have.nested.property('outcome.state', 'done');
   });
+
+  // The operating system ends the connections of a killed service in order.
+  it('guards against a call that counts as answered although its service died within the body', async () => {
+    expect(await call(respondAndDie)).to.include({ kind: 'failed', possibleCrash: true });
+  });
+
+  it('guards against an order that counts as done although its service died within the body', async () => {
+    expect(await order(respondAndDie)).to.have.nested.property('outcome.state', 'unknown');
+  });
+
+  // The end within a response after which the connection would have been closed was no possible crash.
+  it('guards against a crash within a response in chunks that is not counted as one', async () => {
+    const head = HEAD.replace(
+      '\r\n\r\n',
+      '\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n',
+    );
+    const end = await call((socket, _request, worker) => {
+      socket.write(`${head}8\r\n{"paid":\r\n`);
+      worker.die();
+    });
+    expect(end).to.include({ kind: 'failed', possibleCrash: true });
+  });
 });
--- a/src/request/forwarding/callerReply.ts
+++ b/src/request/forwarding/callerReply.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
+import { bodylessStatuses } from '../../connection/responseFraming.js';
 import type { ResponseHead, HeaderCodec } from '../../process/gateway/types.js';
-import { bodylessStatuses } from './bodylessStatuses.js';
 import type { BufferBudget } from './bufferBudget.js';
 
 /** Error responses that the gateway generates itself, by code. */
--- a/src/request/forwarding/runAttempt.ts
+++ b/src/request/forwarding/runAttempt.ts
@@ -1,6 +1,6 @@
 import { ProcessWitness } from '../../connection/processWitness.js';
+import { bodylessStatuses } from '../../connection/responseFraming.js';
 import type { ResponseHead, HeaderCodec } from '../../process/gateway/types.js';
-import { bodylessStatuses } from './bodylessStatuses.js';
 import type { BufferBudget } from './bufferBudget.js';
 import { RESERVED_BYTES } from './bufferBudget.js';
 import { EventSplitter } from './eventSplitter.js';
--- a/test/failures/endlessResponses.spec.ts
+++ b/test/failures/endlessResponses.spec.ts
@@ -60,7 +60,12 @@
   it('guards against keeping an endless response of an upstream in an agent or a client', async () => {
     const worker = await startEndlessWorker('i-a', 'unframed');
     const signal = AbortSignal.timeout(5_000);
-    const post = sendDedicated({ url: worker.url, body: Buffer.from('{}'), signal });
+    const post = sendDedicated({
+      url: worker.url,
+      body: Buffer.from('{}'),
+      signal,
+      hasPaused: () => false,
+    });
     const error: unknown = await post.then(
       () => undefined,
       (reason: unknown) => reason,
