fix: the response to a HEAD request states the length that its upstream stated

Evidence: unframedResponses.spec.ts on: expected '0' to equal '812'. After: HEAD with and without a length, and a status without a body, pass; these need no witness, as they end with their head.

--- a/src/request/forwarding/callerReply.ts
+++ b/src/request/forwarding/callerReply.ts
@@ -179,13 +179,17 @@
 
   private sendWhole(head: ResponseHead, body: Buffer): void {
     this.hasEnded = true;
-    const length: [string, string][] = bodylessStatuses.has(head.status)
-      ? []
-      : [['Content-Length', String(body.length)]];
-    this.writeHead(head, length);
+    const length = this.findLength(head, body);
+    this.writeHead(head, length === undefined ? [] : [['Content-Length', String(length)]]);
     this.response.end(body);
   }
 
+  /** Finds the length to state; the response to a HEAD request states that of the body that it leaves out. */
+  private findLength(head: ResponseHead, body: Buffer): number | undefined {
+    if (bodylessStatuses.has(head.status)) return undefined;
+    return this.response.req.method === 'HEAD' ? head.contentLength : body.length;
+  }
+
   private writeHead(head: ResponseHead, extra: [string, string][]): void {
     const headers = [...head.headers, ...extra];
     if (this.isDraining()) headers.push(['Connection', 'close']);
--- a/test/failures/unframedResponses.spec.ts
+++ b/test/failures/unframedResponses.spec.ts
@@ -198,6 +198,34 @@
       });
     });
 
+    // Responses without a body end with their head, so they need no connection that ends.
+    for (const [name, method, lines, expected] of [
+      ['HEAD with a length', 'HEAD', ['Content-Length: 812'], '812'],
+      ['HEAD without a length', 'HEAD', [], undefined],
+    ] as const) {
+      it(`guards against another length than that of the upstream in a response without a body; ${name}`, async () => {
+        await start((socket, { requestId }) => {
+          socket.write(formatHead(requestId, lines));
+        });
+        const caller = new RawCaller(url);
+        const request = formatRequest('/lookup/a', 'r-1', undefined, ['Connection: close']);
+        caller.send(request.replace('GET', method));
+        const { received } = await caller.waitForEnd(CALLER_TIMEOUT_MS);
+        expect(received).to.match(/^HTTP\/1.1 200 /);
+        expect(/^content-length: (.*)$/im.exec(received)?.[1]).to.equal(expected);
+        expect(received).to.not.match(/transfer-encoding/i);
+      });
+    }
+
+    it('guards against a length or a failure in a response whose status allows no body', async () => {
+      await start((socket, { requestId }) => {
+        socket.write(formatHead(requestId, [], '204 No Content'));
+      });
+      const { received } = await send('/lookup/a').waitForEnd(CALLER_TIMEOUT_MS);
+      expect(received).to.match(/^HTTP\/1.1 204 /);
+      expect(received).to.not.match(/content-length|transfer-encoding/i);
+    });
+
     // A caller of HTTP/1.0 reads no chunks, so only a length shows it a stream that is cut.
     it('guards against a stream without a length for a caller that reads no chunks', async () => {
       await start(respondWhole);
