fix: a gateway that was busy does not report its upstream as crashed

After a response broke off, a gateway probes whether its upstream still listens. The time-out of the probe fired before the outcome was read when the gateway had been busy meanwhile, so a running upstream counted as crashed; all gateways are told of crashes, and three of them refuse a part of prompts. Evidence: probeListener.spec.ts, a pause of 0.45 s in the event loop: expected false to equal true before. Change: the time-out reads what has arrived first, as those of peers and engines do (startTimeout.ts); the witness too.

--- a/src/connection/probeListener.ts
+++ b/src/connection/probeListener.ts
@@ -1,4 +1,5 @@
 import { connect } from 'node:net';
+import { startTimeout } from '../process/startTimeout.js';
 import { parseAddress } from './linkClient.js';
 
 /** A live host accepts within one round trip, which is below 20 ms between availability zones. */
@@ -15,13 +16,13 @@
   return new Promise((resolve) => {
     const socket = connect({ host, port });
     const finish = (isListening: boolean): void => {
-      clearTimeout(timer);
+      cancelTimeout();
       socket.destroy();
       resolve(isListening);
     };
-    const timer = setTimeout(() => {
+    const cancelTimeout = startTimeout(PROBE_TIMEOUT_MS, () => {
       finish(false);
-    }, PROBE_TIMEOUT_MS);
+    });
     socket.once('connect', () => {
       finish(true);
     });
--- a/src/connection/processWitness.ts
+++ b/src/connection/processWitness.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 import { setImmediate as waitForTurn } from 'node:timers/promises';
+import { startTimeout } from '../process/startTimeout.js';
 import { parseAddress } from './linkClient.js';
 import { probeListener } from './probeListener.js';
 import { bodylessStatuses, isFramed } from './responseFraming.js';
@@ -71,13 +72,15 @@
     const socket = connect({ ...parseAddress(this.options.address), noDelay: true });
     this.socket = socket;
     return new Promise((resolve) => {
-      const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
+      const cancelTimeout = startTimeout(CONNECT_TIMEOUT_MS, () => {
+        socket.destroy();
+      });
       let hasOpened = false;
       let hasEnded = false;
       const end = (): void => {
         if (hasEnded) return;
         hasEnded = true;
-        clearTimeout(timer);
+        cancelTimeout();
         this.isOpen = false;
         resolve(false);
         if (hasOpened) this.opened = this.replace();
@@ -86,7 +89,7 @@
       socket.once('end', end).once('close', end);
       socket.on('error', end);
       socket.once('connect', () => {
-        clearTimeout(timer);
+        cancelTimeout();
         // The end of the response is read first if it arrived together with the acceptance.
         setImmediate(() => {
           if (hasEnded) return;
