--- a/src/process/gateway/peerSnapshots.ts
+++ b/src/process/gateway/peerSnapshots.ts
@@ -227,7 +227,7 @@
   > {
     const { directory } = this.options;
     if (configurationOnly) return { upstreams: [] };
-    const entries = directory.listListed();
+    const entries = directory.listCurrent();
     if (since === undefined) return { upstreams: entries.map(encodeUpstream) };
     const { id, base, changed, removed } = this.history.computeChange(entries, since);
     const isUnchanged = base !== undefined && removed.length === 0;
--- a/src/process/gateway/upstreamDirectory.spec.ts
+++ b/src/process/gateway/upstreamDirectory.spec.ts
@@ -166,7 +166,7 @@
     const directory = createDirectory();
     directory.applyListing([first], 5_000, 5_005);
     expect(listIds(directory)).to.deep.equal(['a', 'b']);
-    expect(directory.listListed().map(({ id }) => id)).to.deep.equal(['a']);
+    expect(directory.listCurrent().map(({ id }) => id)).to.deep.equal(['a']);
   });
 
   // A gateway that relied on a frozen reader has not read the store either, so the gap shows nothing.
--- a/src/process/gateway/upstreamDirectory.ts
+++ b/src/process/gateway/upstreamDirectory.ts
@@ -101,7 +101,7 @@
    *
    * @returns Entries in no particular order; a new array after each listing
    */
-  listListed(): readonly UpstreamEntry[] {
+  listCurrent(): readonly UpstreamEntry[] {
     return this.listed;
   }
 
