--- a/src/connection/processWitness.ts
+++ b/src/connection/processWitness.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
-import { setImmediate as waitForTurn } from 'node:timers/promises';
+import { setImmediate as waitForTurn, setTimeout as sleep } from 'node:timers/promises';
 import { startTimeout } from '../process/startTimeout.js';
 import { parseAddress } from './linkClient.js';
 import { probeListener } from './probeListener.js';
@@ -9,6 +9,8 @@
 /** Ports of URLs that name none, by their protocol. */
 const defaultPorts: Readonly<Record<string, number>> = { 'http:': 80, 'https:': 443 };
 const CONNECT_TIMEOUT_MS = 400;
+/** Time in which a process that ends closes its connections, also if the host is busy. */
+const MAX_CLOSING_MS = 200;
 /** An upstream may close an idle connection; each one that it closes is replaced, up to this number. */
 const MAX_CONNECTIONS = 8;
 
@@ -50,8 +52,10 @@
     this.isReplaced = false;
     if (!(await this.opened)) return false;
     // The host's reply to a new connection arrives after the end of an earlier one, so the witness has ended by then if
-    // the process has. Whether the connection is accepted does not matter: a draining upstream accepts none.
-    await probeListener(this.options.address);
+    // the process has.
+    const isListening = await probeListener(this.options.address);
+    // Both a draining upstream and one that is about to end refuse connections; the latter closes one after the other.
+    if (!isListening) await sleep(MAX_CLOSING_MS);
     await waitForTurn();
     return this.isOpen;
   }
--- a/test/failures/unframedResponses.spec.ts
+++ b/test/failures/unframedResponses.spec.ts
@@ -114,6 +114,17 @@
       expect(await call('/chat/a', 'question')).to.include({ end: 'cut' });
     });
 
+    // A process that ends closes its listener first and may be interrupted before it closes its last connection.
+    it('guards against a stream that looks complete while its upstream closes its connections one after the other', async () => {
+      await start(async (socket, { requestId }, worker) => {
+        socket.write(formatHead(requestId, [EVENT_STREAM]));
+        writeEvents(socket, 1, 2);
+        await waitMs(FORWARD_MS);
+        worker.die(socket);
+      });
+      expect(await call('/talk/a', 'question')).to.include({ body: listEvents(1, 2), end: 'cut' });
+    });
+
     // All of it is read at once when the gateway is busy, so the end is read before anything else can be asked.
     it('guards against a stream that looks complete although its upstream died right after its last bytes', async () => {
       await start((socket, { requestId }, worker) => {
--- a/test/standins/rawWorker.ts
+++ b/test/standins/rawWorker.ts
@@ -17,10 +17,15 @@
   readonly requests: readonly RawRequest[];
   /** Refuses new connections; those that are open go on, as those of a draining worker. */
   stopListening(): void;
-  /** Ends all connections in order and refuses new ones, as the operating system does for a killed process. */
-  die(): void;
+  /**
+   * Refuses new connections and ends the open ones in order, as the operating system does for a killed process.
+   *
+   * @param first - Connection that ends first, the others 50 ms later, as on a busy host; by default all end at once
+   */
+  die(first?: Socket): void;
 }
 
+const CLOSING_MS = 50;
 const HEAD_END = '\r\n\r\n';
 
 /**
@@ -57,9 +62,14 @@
     });
   });
   const port = await listenOnLoopback(server, listenPort);
-  const die = (): void => {
+  const die = (first?: Socket): void => {
     server.close();
-    for (const socket of sockets) socket.destroy();
+    first?.destroy();
+    const closeAll = (): void => {
+      for (const socket of sockets) socket.destroy();
+    };
+    if (first === undefined) closeAll();
+    else setTimeout(closeAll, CLOSING_MS);
   };
   return {
     id,
