--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -137,7 +137,7 @@
         this.peers.send(gateway, message);
       },
     });
-    this.directory.mayHaveMissedOutage = (since) =>
+    this.directory.continuity.mayHaveMissedOutage = (since) =>
       this.contact.mayHaveMissedOutage(since, this.readClock());
     this.directory.onListing = (entries, now) => {
       this.rateLimits.cold.observeListing(entries, now);
--- a/src/process/gateway/peerSnapshots.ts
+++ b/src/process/gateway/peerSnapshots.ts
@@ -83,7 +83,7 @@
     const monotonicNow = this.options.readMonotonicClock();
     const proofAgeMs = configurationCache.computeAge(now);
     const listingAgeMs = directory.computeAge(now);
-    const listingCompleteMs = directory.computeCompleteMs(now);
+    const listingCompleteMs = directory.continuity.computeCompleteMs(now);
     const evacuations = this.options.evacuations.describe(now);
     const cold = this.options.cold?.encode(monotonicNow) ?? [];
     const { current } = configurationCache;
--- a/src/process/gateway/storePolling.ts
+++ b/src/process/gateway/storePolling.ts
@@ -179,7 +179,7 @@
       continue;
     }
     // After a failed read, the loop of the configuration asks the other gateways.
-    if (!hasFailed && directory.needsProof(readClock(), readMonotonicClock()))
+    if (!hasFailed && directory.continuity.needsProof(readClock(), readMonotonicClock()))
       await options.queryPeers(false);
     const readStartedAt = readClock();
     const read = checkEra(await source.readUpstreams(), options);
--- a/src/process/gateway/upstreamDirectory.spec.ts
+++ b/src/process/gateway/upstreamDirectory.spec.ts
@@ -172,7 +172,7 @@
   // A gateway that relied on a frozen reader has not read the store either, so the gap shows nothing.
   it('guards against a gap in which no read failed that counts as an outage', () => {
     const directory = createDirectory();
-    directory.mayHaveMissedOutage = () => false;
+    directory.continuity.mayHaveMissedOutage = () => false;
     directory.applyListing([first], 5_000, 5_005);
     expect(listIds(directory)).to.deep.equal(['a']);
   });
@@ -195,9 +195,9 @@
   it('guards against a retention that goes on although another gateway shows that the store was available', () => {
     const directory = createDirectory();
     directory.applyListing([first], 5_000, 5_005);
-    expect(directory.needsProof(5_100, 5_100)).to.equal(true);
+    expect(directory.continuity.needsProof(5_100, 5_100)).to.equal(true);
     directory.applyListing([first], 4_900, 5_110, 0, { completeSince: -10 });
-    expect(directory.needsProof(5_120, 5_120)).to.equal(false);
+    expect(directory.continuity.needsProof(5_120, 5_120)).to.equal(false);
     directory.applyListing([first], 5_650, 5_655);
     expect(listIds(directory)).to.deep.equal(['a']);
   });
@@ -216,10 +216,10 @@
 
   it('guards against a claim to have missed nothing across a gap or a restore of the store', () => {
     const directory = createDirectory();
-    expect(directory.computeCompleteMs(1_000)).to.equal(1_000);
+    expect(directory.continuity.computeCompleteMs(1_000)).to.equal(1_000);
     directory.applyListing(both, 5_000, 5_005);
-    expect(directory.computeCompleteMs(5_100)).to.equal(100);
+    expect(directory.continuity.computeCompleteMs(5_100)).to.equal(100);
     directory.applyListing(both, 5_650, 5_655, 1);
-    expect(directory.computeCompleteMs(5_700)).to.equal(50);
+    expect(directory.continuity.computeCompleteMs(5_700)).to.equal(50);
   });
 });
--- a/src/process/gateway/upstreamDirectory.ts
+++ b/src/process/gateway/upstreamDirectory.ts
@@ -2,11 +2,11 @@
 import type { UpstreamEntry } from '../../version/routing/types.js';
 import type { UpstreamStart } from './leavingUpstreams.js';
 import { LeavingUpstreams } from './leavingUpstreams.js';
+import type { ListingRelay } from './readContinuity.js';
+import { ReadContinuity } from './readContinuity.js';
 
-/** In a shorter gap between reads no entry expires because the store was unavailable; reads are sent every 0.7 s. */
-const OUTAGE_GAP_MS = 1_600;
-/** Entries that expired during an outage are registered again about 2 s after its end. */
-const EXPIRY_GRACE_MS = 2_200;
+/** The operator and the upstreams write again what a restored store lacks within about 2 s. */
+const RESTORE_GRACE_MS = 2_200;
 /** Removals that are remembered; upstreams that left since the last copy of the store are far fewer. */
 const MAX_REMOVALS = 1_000;
 
@@ -24,18 +24,6 @@
   readonly era: number;
 }
 
-/** Reads of another gateway that relays a listing. */
-export interface ListingRelay {
-  /** Since when the other gateway has missed no change; undefined if it does not tell. */
-  readonly completeSince: number | undefined;
-}
-
-/** Time without a read in which entries may have expired because the store was unavailable. */
-interface ReadGap {
-  readonly from: number;
-  readonly to: number;
-}
-
 /** An entry that was removed, and the era of the listing that lacked it. */
 interface Removal {
   readonly entry: UpstreamEntry;
@@ -58,8 +46,7 @@
 export class UpstreamDirectory {
   /** Called with each applied listing, before its upstreams can be chosen. */
   onListing: (entries: readonly UpstreamEntry[], now: number) => void = () => undefined;
-  /** Whether this process may have missed an outage of the store since a time, because its reads failed or it was paused. */
-  mayHaveMissedOutage: (since: number) => boolean = () => true;
+  readonly continuity = new ReadContinuity();
   private entries = new Map<UpstreamId, UpstreamEntry>();
   private known: readonly UpstreamEntry[] = [];
   private listed: readonly UpstreamEntry[] = [];
@@ -68,10 +55,7 @@
   private readonly leaving = new LeavingUpstreams();
   private excludedZones: ReadonlySet<AvailabilityZoneId> = new Set();
   private readonly byService = new Map<ServiceId, UpstreamEntry[]>();
-  private lastReadAt: number | undefined;
-  private completeSince = Infinity;
-  private gap: ReadGap | undefined;
-  private retainUntil = -Infinity;
+  private hasListing = false;
   private restoreGraceUntil = -Infinity;
   /** Era of the last applied listing; 0 for a store that does not report it. */
   era = 0;
@@ -122,29 +106,7 @@
    * @returns Milliseconds since the last applied read was sent; infinite before the first one
    */
   computeAge(now: number): number {
-    return now - (this.lastReadAt ?? -Infinity);
-  }
-
-  /**
-   * Computes for how long this gateway has missed no change.
-   *
-   * @param now - Current time in milliseconds
-   * @returns Milliseconds since the first of the reads without a gap; negatively infinite before the first one
-   */
-  computeCompleteMs(now: number): number {
-    return now - this.completeSince;
-  }
-
-  /**
-   * Checks whether other gateways should be asked if they have read the store while this one has not.
-   *
-   * @param now - Current time in milliseconds
-   * @param monotonicNow - Current time on the monotonic clock, in milliseconds
-   */
-  needsProof(now: number, monotonicNow: number): boolean {
-    if (this.lastReadAt === undefined) return false;
-    if (this.gap !== undefined && monotonicNow < this.retainUntil) return true;
-    return now - this.lastReadAt > OUTAGE_GAP_MS && this.mayHaveMissedOutage(this.lastReadAt);
+    return this.continuity.computeAge(now);
   }
 
   /**
@@ -164,18 +126,19 @@
     era = 0,
     relay?: ListingRelay,
   ): DirectoryChange[] {
-    if (this.lastReadAt !== undefined) {
-      if (era === this.era) this.closeGap(relay, readStartedAt);
+    const { continuity } = this;
+    if (this.hasListing) {
+      if (era === this.era) continuity.verifyGap(relay, readStartedAt);
       // A listing received from a peer may be older than the last one applied.
-      if (era < this.era || (era === this.era && readStartedAt < this.lastReadAt)) return [];
+      const isOlder = era === this.era && continuity.computeAge(readStartedAt) < 0;
+      if (era < this.era || isOlder) return [];
       if (era > this.era) {
-        this.restoreGraceUntil = now + EXPIRY_GRACE_MS;
-        this.completeSince = readStartedAt;
+        this.restoreGraceUntil = now + RESTORE_GRACE_MS;
+        continuity.recordRestore(readStartedAt);
       }
-      this.observeGap({ from: this.lastReadAt, to: readStartedAt }, now, relay);
     }
-    this.completeSince = Math.min(this.completeSince, readStartedAt);
-    this.lastReadAt = readStartedAt;
+    continuity.recordRead(readStartedAt, now, relay);
+    this.hasListing = true;
     this.era = era;
     const changes: DirectoryChange[] = [];
     const current = new Map<UpstreamId, UpstreamEntry>();
@@ -187,7 +150,7 @@
     for (const [id, entry] of this.entries) {
       if (next.has(id)) continue;
       const isRetained =
-        now < this.restoreGraceUntil || (now < this.retainUntil && !entry.isDraining);
+        now < this.restoreGraceUntil || (continuity.isRetaining(now) && !entry.isDraining);
       if (isRetained) next.set(id, entry);
       else this.recordRemoval(entry);
       changes.push({ upstream: id, change: isRetained ? 'held' : 'removed' });
@@ -269,26 +232,6 @@
     this.indexByService();
   }
 
-  /** Retains what may have expired in a gap between two reads, unless another gateway has missed no change in it. */
-  private observeGap(gap: ReadGap, now: number, relay: ListingRelay | undefined): void {
-    if (gap.to - gap.from <= OUTAGE_GAP_MS || !this.mayHaveMissedOutage(gap.from)) return;
-    if ((relay?.completeSince ?? Infinity) <= gap.from) return;
-    const earlier = now < this.retainUntil ? this.gap : undefined;
-    this.gap = { from: earlier?.from ?? gap.from, to: gap.to };
-    this.completeSince = gap.to;
-    this.retainUntil = now + EXPIRY_GRACE_MS;
-  }
-
-  /** Ends the retention if another gateway has missed no change in the gap that led to it. */
-  private closeGap(relay: ListingRelay | undefined, readStartedAt: number): void {
-    if (this.gap === undefined || relay?.completeSince === undefined) return;
-    const { from, to } = this.gap;
-    if (relay.completeSince > from || readStartedAt < to - OUTAGE_GAP_MS) return;
-    this.gap = undefined;
-    this.completeSince = relay.completeSince;
-    this.retainUntil = -Infinity;
-  }
-
   private mergeEntry(entry: UpstreamEntry, changes: DirectoryChange[]): UpstreamEntry {
     const previous = this.entries.get(entry.id);
     if (previous === undefined) {
