--- a/test/failures/plannedStops.spec.ts
+++ b/test/failures/plannedStops.spec.ts
@@ -1,14 +1,10 @@
-import type { ChildProcess } from 'node:child_process';
-import { spawn } from 'node:child_process';
-import { mkdtempSync, writeFileSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { expect } from 'chai';
 import { request } from 'undici';
 import { eventsPerStream, formatEvent } from '../standins/platformWorker.js';
 import type { GatewayFixture, GatewayResponse } from '../support/gatewayFixture.js';
 import { callGateway, startGatewayFixture } from '../support/gatewayFixture.js';
-import { reservePorts } from '../support/ports.js';
+import type { GatewayProgram } from '../support/gatewayProgram.js';
+import { startGatewayProgram, waitUntilProgramReady } from '../support/gatewayProgram.js';
 import { waitMs, waitUntil } from '../support/waiting.js';
 
 const completeStream = Array.from({ length: eventsPerStream }, (_, index) =>
@@ -17,14 +13,6 @@
 const EVENT_INTERVAL_MS = 250;
 const STOP_LIMIT_MS = 8_000;
 
-interface GatewayProgram {
-  readonly child: ChildProcess;
-  readonly url: string;
-  readonly readyUrl: string;
-  /** Resolves with the exit code, or the signal that ended the process. */
-  readonly ended: Promise<number | string | null>;
-}
-
 describe('planned stops of the gateway program', function () {
   this.timeout(40_000);
   let fixture: GatewayFixture;
@@ -33,20 +21,16 @@
   beforeEach(async () => {
     fixture = await startGatewayFixture({ workers: 1, gateways: 1, started: 0 });
     fixture.workers[0]!.eventIntervalMs = EVENT_INTERVAL_MS;
-    program = await startProgram(fixture.store.port);
+    program = await startGatewayProgram({
+      storePort: fixture.store.port,
+      stopLimitMs: STOP_LIMIT_MS,
+    });
   });
   afterEach(async () => {
     program.child.kill('SIGKILL');
     await fixture.close();
   });
 
-  const waitUntilReady = async (): Promise<void> => {
-    await waitUntil(
-      'gateway ready',
-      async () => (await request(program.readyUrl)).statusCode === 200,
-      { timeoutMs: 20_000 },
-    );
-  };
   const startStream = async (): Promise<Promise<GatewayResponse>> => {
     const stream = callGateway(program.url, '/chat/a', { 'deadline-ms': '6000' });
     await waitUntil('stream begun', () => fixture.workers[0]!.receivedRequests.length > 0);
@@ -55,7 +39,7 @@
 
   // The second signal had no handler and ended the process with its streams.
   it('guards against requests that a repeated stop signal cuts off', async () => {
-    await waitUntilReady();
+    await waitUntilProgramReady(program);
     const stream = startStream();
     await waitMs(2 * EVENT_INTERVAL_MS);
     program.child.kill('SIGTERM');
@@ -78,7 +62,7 @@
   });
 
   it('guards against requests that a stop cuts off while the store is away', async () => {
-    await waitUntilReady();
+    await waitUntilProgramReady(program);
     fixture.store.mode = 'unresponsive';
     const stream = startStream();
     await waitMs(EVENT_INTERVAL_MS);
@@ -89,26 +73,3 @@
     expect(performance.now() - stoppedAt).to.be.below(STOP_LIMIT_MS);
   });
 });
-
-async function startProgram(storePort: number): Promise<GatewayProgram> {
-  const [front = 0, ready = 0, links = 0, metrics = 0] = await reservePorts(4);
-  const file = join(mkdtempSync(join(tmpdir(), 'stops-')), 'gateway.ini');
-  const sections = [
-    `[process]\nid=gateway-1\navailability_zone=a\nstop_limit_seconds=${STOP_LIMIT_MS / 1000}`,
-    `[listen]\nfront=127.0.0.1:${front}\nready=127.0.0.1:${ready}`,
-    `links=127.0.0.1:${links}\nmetrics_port=${metrics}`,
-    `[peers]\nseeds=\n[store]\naddress=127.0.0.1:${storePort}\n[keys]\nproof_ms=5000`,
-    '[repeats]\nwindow_seconds=10\nratio=0.2\nextra=90',
-  ];
-  writeFileSync(file, sections.join('\n'));
-  const child = spawn(process.execPath, ['--import', 'tsx', 'platform/main.ts', 'gateway', file], {
-    stdio: 'ignore',
-  });
-  const ended = new Promise<number | string | null>((resolve) => {
-    child.once('exit', (code, signal) => {
-      resolve(signal ?? code);
-    });
-  });
-  const readyUrl = `http://127.0.0.1:${ready}/ready`;
-  return { child, url: `http://127.0.0.1:${front}`, readyUrl, ended };
-}
