fix: connections of callers are closed in order, and not right after a response

Cause: a stopping gateway closed each connection within 25 ms after its last response, just when the caller sends its next request, and it did so with destroy(), so that the kernel reset the connection for bytes that arrived.

Change: connections are closed after one second without a request.

A stop lasts up to two seconds longer than its last response.

--- a/src/process/gateway/callerConnections.ts
+++ b/src/process/gateway/callerConnections.ts
@@ -12,14 +12,26 @@
 };
 const DEFAULT_REJECTION_STATUS = '400 Bad Request';
 
+/**
+ * A stopping gateway closes a connection that has been idle for this long. A caller that has just received a response
+ * would otherwise send its next request into the close, and not know whether it has run.
+ */
+const MIN_IDLE_MS = 1_000;
+
 /** Tracks the connections of callers and the responses that are not yet handed to the operating system. */
 export class CallerConnections {
   private readonly connections = new Map<Socket, CallerConnection<CallerExchange>>();
 
-  /** @param server - Server that accepts the connections */
-  constructor(private readonly server: Server) {
+  /**
+   * @param server - Server that accepts the connections
+   * @param readClock - Current time in milliseconds
+   */
+  constructor(
+    private readonly server: Server,
+    private readonly readClock: () => number,
+  ) {
     server.on('connection', (socket: Socket) => {
-      this.connections.set(socket, new CallerConnection(socket));
+      this.connections.set(socket, new CallerConnection(socket, this.readClock()));
       socket.once('close', () => this.connections.delete(socket));
     });
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -27,6 +39,11 @@
     });
   }
 
+  /** Number of open connections. */
+  get size(): number {
+    return this.connections.size;
+  }
+
   /** Number of requests whose response is not yet handed to the operating system. */
   countUnfinished(): number {
     let count = 0;
@@ -53,7 +70,7 @@
     if (connection === undefined || connection.isClosing) return false;
     connection.add(exchange);
     observeClose(exchange, () => {
-      connection.remove(exchange);
+      connection.remove(exchange, this.readClock());
     });
     return true;
   }
@@ -75,15 +92,16 @@
   }
 
   /**
-   * Closes the connections without an unfinished response.
+   * Closes the connections that have been without a request for a while.
    *
+   * @param now - Current time in milliseconds
    * @returns Number of closed connections
    */
-  closeIdle(): number {
+  closeIdle(now: number): number {
     let count = 0;
-    for (const [socket, { unfinishedCount }] of this.connections) {
-      if (unfinishedCount > 0) continue;
-      socket.destroy();
+    for (const connection of this.connections.values()) {
+      if (connection.computeIdleMs(now) < MIN_IDLE_MS) continue;
+      connection.close();
       count += 1;
     }
     return count;
@@ -96,10 +114,14 @@
 
   /** Answers bytes that are no request, unless the caller would take the answer for that to an earlier request. */
   private rejectBytes(code: string, socket: Socket): void {
-    if (socket.writable && this.connections.get(socket)?.unfinishedCount === 0) {
-      const status = rejectionStatuses[code] ?? DEFAULT_REJECTION_STATUS;
-      socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+    const connection = this.connections.get(socket);
+    // The parser reports each further read of a connection that is closing.
+    if (connection?.isClosing === true && connection.unfinishedCount === 0) return;
+    if (connection === undefined || !socket.writable || connection.unfinishedCount > 0) {
+      socket.destroy();
+      return;
     }
-    socket.destroy();
+    const status = rejectionStatuses[code] ?? DEFAULT_REJECTION_STATUS;
+    connection.close(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
   }
 }
--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -209,7 +209,7 @@
       tryAnnounceClose: (exchange) => this.callers.tryAnnounceClose(exchange),
     };
     this.front = createServer({ maxHeaderSize: defaults.maxHeaderBytes });
-    this.callers = new CallerConnections(this.front);
+    this.callers = new CallerConnections(this.front, () => this.readClock());
     this.ready = createServer();
     const snapshots = new PeerSnapshots({
       incarnation: this.incarnation,
@@ -385,9 +385,9 @@
     this.callers.closeListener();
     const hasTime = (): boolean => gracefulStop.computeRemainingMs(this.readClock()) > 0;
     do {
-      metrics.addCount('stop_connections_closed', this.callers.closeIdle());
+      metrics.addCount('stop_connections_closed', this.callers.closeIdle(this.readClock()));
       await sleep(DRAIN_POLL_INTERVAL_MS);
-    } while (this.callers.countUnfinished() > 0 && hasTime());
+    } while (this.callers.size > 0 && hasTime());
     this.stop();
   }
 
