fix: a gateway that was paused counts its stop from the earliest time of the signal

What callers would see: after a pause a stopping gateway passes on work that the platform cuts, because it takes the end of the pause for the time of the signal.

Cause: a process that wakes up handles a signal that may have been sent at any time of the pause, while the limit after which it is killed counts from the signal.

Change: what a stopping gateway takes is decided by the earliest time at which the signal can have been sent. Requests that were begun go on until the limit counted from the end of the pause, since ending them sooner would only lose them sooner.

--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -385,7 +385,7 @@
   async drain(): Promise<void> {
     const { gracefulStop, metrics } = this;
     const now = this.readClock();
-    gracefulStop.begin(now);
+    gracefulStop.begin(now, this.pauses.computeEarliestArrival(now));
     this.dependencies.logger.info({ active: this.callers.countUnfinished() }, 'draining');
     await sleep(DRAIN_LISTEN_MS);
     this.callers.closeListener();
