--- a/test/support/stopSoak.ts
+++ b/test/support/stopSoak.ts
@@ -50,13 +50,13 @@
 
 /** What a plan may do to the gateways. */
 export interface StopControl {
-  random(): number;
+  readonly random: () => number;
   /** Sends SIGTERM to a gateway, and starts it again when it has ended. */
-  stop(index: number): Promise<void>;
+  readonly stop: (index: number) => Promise<void>;
   /** Sends another signal to a gateway, or SIGTERM once more. */
-  send(index: number, signal: NodeJS.Signals): void;
-  wait(durationMs: number): Promise<void>;
-  publishConfiguration(): void;
+  readonly send: (index: number, signal: NodeJS.Signals) => void;
+  readonly wait: (durationMs: number) => Promise<void>;
+  readonly publishConfiguration: () => void;
 }
 
 /** A request with what upstreams did for it. */
