--- a/test/failures/cutHeads.spec.ts
+++ b/test/failures/cutHeads.spec.ts
@@ -39,6 +39,8 @@
   chunks: (id) => formatHead(id, [CHUNKED, NOTE]),
   'no length': (id) => formatHead(id, [NOTE, 'Connection: close']),
   stream: (id) => formatHead(id, [EVENT_STREAM, NOTE]),
+  refusal: (id) =>
+    formatHead(id, ['Not-Executed: 1', 'Retry-After: 0.5', 'Content-Length: 0'], '503 Full'),
   'after a 102': (id) =>
     formatHead(id, ['Content-Length: 0'], '102 Processing') + formatHead(id, [LENGTH, NOTE]),
 };
