fix: close the witness connections of calls and orders behind an informational head

Cause: `sendOrder` and `sendDedicated` treated a head below 200 as that of the response. It states no length, so a connection that watches the end of the upstream was opened for it. The head of the response itself replaced it, and it was never closed; when the upstream closed it, up to seven more were opened in its place.

Evidence: "connections of the call closed: not reached within 10000 ms", for a response with and one without a length behind a 102.

Change: both skip informational heads, as the gateway's exchange does; `MIN_FINAL_STATUS` is shared. `RawWorker` counts its open connections.

--- a/src/connection/responseFraming.ts
+++ b/src/connection/responseFraming.ts
@@ -1,3 +1,6 @@
+/** Informational responses below this status precede the response and say nothing about it. */
+export const MIN_FINAL_STATUS = 200;
+
 /** Statuses whose responses end with their head. */
 export const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
--- a/src/process/agent/upstreams/orderExchange.ts
+++ b/src/process/agent/upstreams/orderExchange.ts
@@ -2,6 +2,7 @@
 import { createWitness } from '../../../connection/processWitness.js';
 import type { ProcessWitness } from '../../../connection/processWitness.js';
 import { createObservedConnector } from '../../../connection/observedConnector.js';
+import { MIN_FINAL_STATUS } from '../../../connection/responseFraming.js';
 import { defaults } from '../../../defaults.js';
 import type { OrderOutcome } from '../orderMemory.js';
 
@@ -91,6 +92,7 @@
           else controller.abort(new Error('order may no longer be sent'));
         },
         onResponseStart: (_controller, statusCode, headers) => {
+          if (statusCode < MIN_FINAL_STATUS) return;
           status = statusCode;
           witness = createWitness(exchange, statusCode, headers);
           refused = statusCode === 503 && headers['x-not-run'] === 'true';
--- a/src/process/agent/upstreams/sendDedicated.ts
+++ b/src/process/agent/upstreams/sendDedicated.ts
@@ -2,6 +2,7 @@
 import { createWitness } from '../../../connection/processWitness.js';
 import type { ProcessWitness } from '../../../connection/processWitness.js';
 import { createObservedConnector } from '../../../connection/observedConnector.js';
+import { MIN_FINAL_STATUS } from '../../../connection/responseFraming.js';
 import { defaults } from '../../../defaults.js';
 
 export interface DedicatedRequest {
@@ -59,6 +60,7 @@
         {
           onRequestStart: () => undefined,
           onResponseStart: (_controller, statusCode, headers) => {
+            if (statusCode < MIN_FINAL_STATUS) return;
             status = statusCode;
             witness = createWitness(post, statusCode, headers);
           },
--- a/src/process/agent/upstreams/truncatedResponses.spec.ts
+++ b/src/process/agent/upstreams/truncatedResponses.spec.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import type { RawRequest, RawWorker } from '../../../../test/standins/rawWorker.js';
 import { startRawWorker } from '../../../../test/standins/rawWorker.js';
+import { waitUntil } from '../../../../test/support/waiting.js';
 import { sendOrder } from './orderExchange.js';
 import { createPlainAdapter } from './plain.js';
 
@@ -106,4 +107,22 @@
     });
     expect(end).to.include({ kind: 'failed', possibleCrash: true });
   });
+
+  // An informational head states no length. The connection opened to watch its end was never closed.
+  for (const [name, head] of [
+    ['a length', HEAD.replace('\r\n\r\n', '\r\nContent-Length: 10\r\n\r\n')],
+    ['no length', HEAD],
+  ] as const) {
+    it(`guards against connections that stay open after an informational head; then ${name}`, async () => {
+      const respond: Respond = (socket) => {
+        socket.write('HTTP/1.1 102 Processing\r\n\r\n');
+        setTimeout(() => socket.end(`${head}{"paid":1}`), RESET_DELAY_MS);
+      };
+      expect(await call(respond)).to.include({ kind: 'done', status: 200 });
+      await waitUntil('connections of the call closed', () => upstream?.openConnections === 0);
+      await upstream?.close();
+      expect(await order(respond)).to.have.nested.property('outcome.state', 'done');
+      await waitUntil('connections of the order closed', () => upstream?.openConnections === 0);
+    });
+  }
 });
--- a/src/request/forwarding/upstreamExchange.ts
+++ b/src/request/forwarding/upstreamExchange.ts
@@ -6,11 +6,10 @@
 import { parseAddress } from '../../connection/linkClient.js';
 import { FramingMeter } from '../../connection/framingMeter.js';
 import { observeReset } from '../../connection/observeReset.js';
+import { MIN_FINAL_STATUS } from '../../connection/responseFraming.js';
 
 /** A live host accepts within one round trip, which is below 20 ms between availability zones. */
 const CONNECT_TIMEOUT_MS = 400;
-/** Informational responses below this status precede the response and say nothing about it. */
-const MIN_FINAL_STATUS = 200;
 
 export interface ExchangeRequest {
   readonly address: string;
--- a/test/standins/rawWorker.ts
+++ b/test/standins/rawWorker.ts
@@ -15,6 +15,7 @@
 export interface RawWorker extends StandIn {
   readonly id: string;
   readonly requests: readonly RawRequest[];
+  readonly openConnections: number;
   /** Refuses new connections; those that are open go on, as those of a draining worker. */
   stopListening(): void;
   /**
@@ -76,6 +77,9 @@
     port,
     url: `http://127.0.0.1:${port}`,
     requests,
+    get openConnections() {
+      return sockets.size;
+    },
     stopListening: () => {
       server.close();
     },
