--- a/test/failures/cutReplies.spec.ts
+++ b/test/failures/cutReplies.spec.ts
@@ -228,7 +228,6 @@
   ),
   'gateway, group of an engine': {
     body: report,
-    takesUnframed: true,
     ask: async (url) => {
       const read = await engineProbe.readGroup(new URL(url).host);
       if (read.isErr()) return 'lost';
