fix: a cut answer to the probe of an engine proves nothing

Cause: the probe of an engine searched its answer for the beginning of the last line.

Change: the probe requires the whole last line, as the reader of a request's stream does.

Before and after: "guards against a body without a length that is cut and counts as whole; agent, probe of an engine" failed, now passes; 111 passing in `cutReplies.spec.ts`, the specs of the agent's upstreams and `agentDaemon.spec.ts`.

--- a/src/process/agent/upstreams/engine.ts
+++ b/src/process/agent/upstreams/engine.ts
@@ -135,7 +135,7 @@
     try {
       const answer = await post('/v1/generate', probeRequest, signal);
       const text = await readBoundedText(answer.body, MAX_PROBE_BYTES);
-      return answer.statusCode === 200 && text.includes('"done":true');
+      return answer.statusCode === 200 && hasEndLine(text);
     } catch {
       void cancel(id);
       return false;
@@ -189,6 +189,15 @@
   return undefined;
 }
 
+/** Whether a stream of tokens has its last line; an engine that dies within it has not proved anything. */
+function hasEndLine(body: string): boolean {
+  for (const text of body.split('\n').slice(0, -1)) {
+    const line = parseLine(text);
+    if (line !== undefined && 'done' in line) return true;
+  }
+  return false;
+}
+
 function parseLine(text: string): z.infer<typeof lineSchema> | undefined {
   try {
     return lineSchema.parse(JSON.parse(text));
--- a/test/failures/cutReplies.spec.ts
+++ b/test/failures/cutReplies.spec.ts
@@ -149,7 +149,6 @@
     createEngineAdapter,
     async (adapter) => ((await adapter.prove(TIMEOUT_MS)) ? 'whole' : 'lost'),
     tokenLines,
-    { takesUnframed: true },
   ),
   'caller client, chat': createCase(
     openCaller,
