--- a/src/connection/peerLink.spec.ts
+++ b/src/connection/peerLink.spec.ts
@@ -1,5 +1,9 @@
 import { expect } from 'chai';
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import { waitUntil } from '../../test/support/waiting.js';
 import type { Message } from '../protocol/messages.js';
+import { encodeFrame } from './frameCodec.js';
 import { openLink } from './linkClient.js';
 import { LinkServer } from './linkServer.js';
 import type { Hello, PeerLink } from './peerLink.js';
@@ -104,6 +108,41 @@
     expect(opened.isErr() && opened.error.code).to.equal('version_mismatch');
   });
 
+  // The rest of a cut frame must not be looked for on the next connection either.
+  it('guards against a frame that is cut by the end of its connection and counts as a message', async () => {
+    const received: string[] = [];
+    const server = new LinkServer({
+      host: '127.0.0.1',
+      port: 0,
+      self: () => createHello('server'),
+      onLink: () => undefined,
+      handlers: { cancel: ({ attempt }) => received.push(attempt) },
+    });
+    const { port } = await server.listen();
+    const cancel = encodeFrame({ type: 'cancel', attempt: 'cut' });
+    const closes: Promise<unknown>[] = [];
+    for (let length = 0; length < cancel.length; length += 1) {
+      for (const isHelloCut of [false, true]) {
+        const hello = encodeFrame(createHello('client'));
+        const bytes = isHelloCut ? hello.subarray(0, length) : hello;
+        const socket = connect(port, '127.0.0.1').resume();
+        socket.end(Buffer.concat([bytes, cancel.subarray(0, length)]));
+        closes.push(once(socket, 'close'));
+      }
+    }
+    await Promise.all(closes);
+    const opened = await openLink({
+      address: `127.0.0.1:${port}`,
+      self: () => createHello('client'),
+      handlers: {},
+    });
+    opened.unwrap().send({ type: 'cancel', attempt: 'whole' });
+    await waitUntil('message received', () => received.length > 0);
+    server.close();
+    expect(received).to.deep.equal(['whole']);
+    expect(server.links.size).to.be.at.most(1);
+  });
+
   // The exception of the library ended the loop that keeps the link, or the process after twenty of them.
   for (const address of ['127.0.0.1:99999', '127.0.0.1:0', '999.1.1.1:80', 'none']) {
     it(`guards against an exception for an address to which no link can be opened; address: ${address}`, async () => {
