refactor: the time-out for messages of other processes lies below connections and processes

Cause: `src/connection/processWitness.ts` and `probeListener.ts` imported `startTimeout` from `src/process/`, which is built on `src/connection/`. Change: `startTimeout.ts` moves, without a change, to `src/`, beside `ids.ts` and `errors.ts`. No change of behaviour.

--- a/src/connection/probeListener.ts
+++ b/src/connection/probeListener.ts
@@ -1,5 +1,5 @@
 import { connect } from 'node:net';
-import { startTimeout } from '../process/startTimeout.js';
+import { startTimeout } from '../startTimeout.js';
 import { parseAddress } from './linkClient.js';
 
 /** A live host accepts within one round trip, which is below 20 ms between availability zones. */
--- a/src/connection/processWitness.ts
+++ b/src/connection/processWitness.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 import { setImmediate as waitForTurn, setTimeout as sleep } from 'node:timers/promises';
-import { startTimeout } from '../process/startTimeout.js';
+import { startTimeout } from '../startTimeout.js';
 import { parseAddress } from './linkClient.js';
 import { probeListener } from './probeListener.js';
 import { bodylessStatuses, isFramed } from './responseFraming.js';
--- a/src/process/gateway/peerQueries.ts
+++ b/src/process/gateway/peerQueries.ts
@@ -1,6 +1,6 @@
 import type { PeerLink } from '../../connection/peerLink.js';
 import type { MessageOf } from '../../protocol/messages.js';
-import { startTimeout } from '../startTimeout.js';
+import { startTimeout } from '../../startTimeout.js';
 import type { StateSnapshot } from './gatewayPeers.js';
 
 /** Peers in other zones reply within 5 ms; a frozen one must not delay the next read of the store. */
--- a/src/process/ranker/remoteRankOrders.ts
+++ b/src/process/ranker/remoteRankOrders.ts
@@ -1,7 +1,7 @@
 import type { PeerLink } from '../../connection/peerLink.js';
 import type { MessageOf } from '../../protocol/messages.js';
 import type { GroupPlacement } from '../../version/placement/types.js';
-import { startTimeout } from '../startTimeout.js';
+import { startTimeout } from '../../startTimeout.js';
 import type { OrderTimeout } from './orderTimeout.js';
 import { decodePlacement, encodePlacement } from './placementCodec.js';
 import type { OrderOutcome, RankOrder } from './types.js';
