--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -1,5 +1,4 @@
 import type { ChildProcess } from 'node:child_process';
-import { appendFileSync } from 'node:fs';
 import { spawn } from 'node:child_process';
 import { dirname, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -64,11 +63,10 @@
   script: string,
   args: readonly string[],
 ): Promise<RunningProcess> {
-  const loader = script.endsWith('.ts') ? ['--import', '/tmp/red-t0.mjs', '--import', 'tsx', '--import', '/tmp/red-t1.mjs'] : [];
+  const loader = script.endsWith('.ts') ? ['--import', 'tsx'] : [];
   const child = spawn(process.execPath, [...loader, script, ...args], {
     cwd: rootDirectory,
     detached: true,
-    env: { ...process.env, SPAWNED_AT: String(performance.timeOrigin + performance.now()) },
     stdio: ['ignore', 'pipe', 'pipe'],
   });
   const pid = child.pid;
@@ -86,12 +84,10 @@
       done(code);
     });
   });
-  const spawnedAt = performance.now();
   const ready = await waitForReadyLine(child).catch((error: unknown) => {
     sendGroupSignal(pid, 'SIGKILL');
     throw new Error(`${name}: ${String(error)}\n${log}`);
   });
-  appendFileSync(process.env.STEP_LOG ?? '/dev/null', `${pid} 4-ready wall=${(performance.now() - spawnedAt).toFixed(0)} cpu=0 ${script} ${args[0]} ${name}\n`);
   return {
     name,
     pid,
