--- a/src/connection/callerConnection.spec.ts
+++ b/src/connection/callerConnection.spec.ts
@@ -54,11 +54,11 @@
   // A caller sends its next request right after a response.
   it('guards against a connection that counts as idle right after a response', () => {
     const connection = new CallerConnection<string>(accepted, 0);
-    expect(connection.computeIdleMs(500)).to.equal(500);
+    expect(connection.measureIdleMs(500)).to.equal(500);
     connection.add('first');
-    expect(connection.computeIdleMs(600)).to.equal(0);
+    expect(connection.measureIdleMs(600)).to.equal(0);
     connection.remove('first', 700);
-    expect(connection.computeIdleMs(750)).to.equal(50);
+    expect(connection.measureIdleMs(750)).to.equal(50);
   });
 
   // A socket that is closed with unread bytes is reset.
--- a/src/connection/callerConnection.ts
+++ b/src/connection/callerConnection.ts
@@ -1,7 +1,9 @@
 import type { Socket } from 'node:net';
 
-/** Time for which a closed connection is still read, unless the caller closes it as well. */
+/** A closed connection is read until nothing has come for this long, unless the caller closes it as well. */
 const LINGER_MS = 1_000;
+/** Longest time for which a closed connection is read. */
+const MAX_LINGER_MS = 5_000;
 
 /** Connection of a caller, with the exchanges on it whose response is not yet handed to the operating system. */
 export class CallerConnection<Exchange> {
@@ -9,6 +11,7 @@
   private readonly unfinished = new Set<Exchange>();
   private hasAnnouncedClose = false;
   private hasClosed = false;
+  private knownBytesRead = 0;
 
   /**
    * @param socket - Accepted connection
@@ -54,13 +57,25 @@
   }
 
   /**
-   * Computes how long the connection has been without an exchange.
+   * Measures how long the connection has been without an exchange and without bytes of a request.
    *
    * @param now - Current time in milliseconds
    * @returns Milliseconds, 0 while there is an exchange or the connection is closing
    */
-  computeIdleMs(now: number): number {
-    return this.unfinished.size > 0 || this.isClosing ? 0 : now - this.idleSince;
+  measureIdleMs(now: number): number {
+    if (this.unfinished.size > 0 || this.isClosing) return 0;
+    const { bytesRead } = this.socket;
+    if (bytesRead !== this.knownBytesRead) {
+      this.knownBytesRead = bytesRead;
+      this.idleSince = now;
+    }
+    return now - this.idleSince;
+  }
+
+  /** Whether the response of an exchange has to wait for that to an earlier request. */
+  isBehindOther(exchange: Exchange): boolean {
+    const [first] = this.unfinished;
+    return first !== undefined && first !== exchange;
   }
 
   /**
@@ -74,9 +89,16 @@
     if (this.hasClosed) return;
     this.hasClosed = true;
     this.socket.end(lastBytes);
-    const timer = setTimeout(() => this.socket.destroy(), LINGER_MS);
+    let lingeredMs = 0;
+    let { bytesRead } = this.socket;
+    const timer = setInterval(() => {
+      lingeredMs += LINGER_MS;
+      const isSilent = this.socket.bytesRead === bytesRead;
+      if (isSilent || lingeredMs >= MAX_LINGER_MS) this.socket.destroy();
+      ({ bytesRead } = this.socket);
+    }, LINGER_MS);
     this.socket.once('close', () => {
-      clearTimeout(timer);
+      clearInterval(timer);
     });
   }
 
--- a/src/process/gateway/callerConnections.ts
+++ b/src/process/gateway/callerConnections.ts
@@ -75,6 +75,15 @@
     return true;
   }
 
+  /**
+   * Checks whether a response has to wait for that to an earlier request on its connection.
+   *
+   * @param exchange - Request and response
+   */
+  isBehindOther(exchange: CallerExchange): boolean {
+    return this.connections.get(exchange.request.socket)?.isBehindOther(exchange) ?? false;
+  }
+
   /**
    * Decides whether a response may announce the close of its connection.
    *
@@ -100,7 +109,7 @@
   closeIdle(now: number): number {
     let count = 0;
     for (const connection of this.connections.values()) {
-      if (connection.computeIdleMs(now) < MIN_IDLE_MS) continue;
+      if (connection.measureIdleMs(now) < MIN_IDLE_MS) continue;
       connection.close();
       count += 1;
     }
