fix: a stop limit shorter than the wait for the load balancer is kept

What callers saw: with a limit of 2 s the process was killed with its requests, since it first waited 2.6 s for the load balancer (shown by a test of the review).

Callers whose load balancer got no answer during a pause are not expected to come back to this gateway.

Before: 'a stop that outlasts a limit shorter than the time until the listener closes' failed with SIGKILL. After: exit code 0, and the payment gets 504.

--- a/src/process/gateway/gracefulStop.ts
+++ b/src/process/gateway/gracefulStop.ts
@@ -1,7 +1,7 @@
 export interface StopTimes {
   /** Time between the start of the stop and the end of all requests. */
   readonly limitMs: number;
-  /** Time for which the load balancer still opens connections to a process that is not ready. */
+  /** Time for which the load balancer still opens connections to a process that is not ready; cut to the limit. */
   readonly listeningMs: number;
 }
 
@@ -9,8 +9,14 @@
 export class GracefulStop {
   private startedAt: number | undefined;
   private earliestStartAt = Infinity;
+  /** Time between the start of the stop and the end of all requests. */
+  readonly limitMs: number;
+  private readonly listeningMs: number;
 
-  constructor(private readonly times: StopTimes) {}
+  constructor({ limitMs, listeningMs }: StopTimes) {
+    this.limitMs = Math.max(0, limitMs);
+    this.listeningMs = Math.min(listeningMs, this.limitMs);
+  }
 
   /** Whether the process is stopping. */
   get isDraining(): boolean {
@@ -46,18 +52,29 @@
    * @returns Milliseconds, `Infinity` unless the process is stopping
    */
   computeRemainingMs(now: number): number {
-    return this.earliestStartAt + this.times.limitMs - now;
+    return this.earliestStartAt + this.limitMs - now;
   }
 
   /**
-   * Computes the time for which the load balancer may still open connections to this process.
+   * Computes the time until the listener closes, as the load balancer may still open connections to this process.
    *
    * @param now - Current time in milliseconds
-   * @returns Milliseconds, 0 once it has stopped to, `Infinity` unless the process is stopping
+   * @returns Milliseconds, 0 once it is closed, `Infinity` unless the process is stopping
    */
   computeListeningMs(now: number): number {
     if (this.startedAt === undefined) return Infinity;
-    return Math.max(0, this.startedAt + this.times.listeningMs - now);
+    return Math.max(0, this.startedAt + this.listeningMs - now);
+  }
+
+  /**
+   * Computes the time for which a refused caller would probably come back to this process. A load balancer whose checks
+   * were not answered during a pause has stopped to send callers here.
+   *
+   * @param now - Current time in milliseconds
+   * @returns Milliseconds, `Infinity` unless the process is stopping
+   */
+  computeReturningMs(now: number): number {
+    return Math.max(0, this.earliestStartAt + this.listeningMs - now);
   }
 
   /**
@@ -69,6 +86,6 @@
    * @param now - Current time in milliseconds
    */
   isOver(now: number): boolean {
-    return this.startedAt !== undefined && now >= this.startedAt + this.times.limitMs;
+    return this.startedAt !== undefined && now >= this.startedAt + this.limitMs;
   }
 }
