fix: answer requests whose body is incomplete at the drain limit of an entry

Cause: the limit cancels running requests only. A request whose body was still being read got no response, and one whose body came in the flush time after the limit was sent to an agent and then cut.

Change: the entry ends the reads at the limit with `draining`, which is true, because nothing was sent. The limits of a body travel as one value.

--- /dev/null
+++ b/src/process/entry/entryDaemon.spec.ts
@@ -0,0 +1,110 @@
+import { expect } from 'chai';
+import { once } from 'node:events';
+import type { Socket } from 'node:net';
+import { connect } from 'node:net';
+import type { EntryFixture } from '../../../test/support/entryFixture.js';
+import { startEntryFixture } from '../../../test/support/entryFixture.js';
+import type { FakeAgentOptions } from '../../../test/support/fakeAgent.js';
+import { waitMs } from '../../../test/support/waiting.js';
+import { createOrderId } from '../../protocol/orderId.js';
+
+/** Below the time after which the entry takes a silent agent for a stalled one. */
+const LIMIT_MS = 600;
+const ORDERS = '/v1/services/ledger/orders';
+const PUMP_CALLS = '/v1/services/pump/calls';
+const LEDGER_CALLS = '/v1/services/ledger/calls';
+const CHAT = '/v1/chat/completions';
+
+function startFixture(agents: readonly FakeAgentOptions[]): Promise<EntryFixture> {
+  return startEntryFixture(agents, LIMIT_MS);
+}
+
+interface RawExchange {
+  readonly socket: Socket;
+  /** All bytes received until the connection ended. */
+  readonly received: Promise<string>;
+}
+
+function sendRaw(fixture: EntryFixture, text: string): RawExchange {
+  const socket = connect(fixture.entry.httpPort, '127.0.0.1');
+  const received = new Promise<string>((resolve) => {
+    let data = '';
+    socket.on('data', (part: Buffer) => (data += part.toString()));
+    socket.on('error', () => undefined);
+    socket.once('close', () => {
+      resolve(data);
+    });
+  });
+  socket.write(text);
+  return { socket, received };
+}
+
+function formatHead(method: string, path: string, length: number, extra = ''): string {
+  return `${method} ${path} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer secret\r\ncontent-length: ${length}\r\n${extra}\r\n`;
+}
+
+/** Starts a drain and returns its promise once the entry refuses requests. */
+async function beginDrain(fixture: EntryFixture): Promise<{ drained: Promise<void> }> {
+  const drained = fixture.entry.drain();
+  await waitMs(20);
+  return { drained };
+}
+
+function createAgents(
+  service: string,
+  count: number,
+  options: Partial<FakeAgentOptions> = {},
+): FakeAgentOptions[] {
+  return Array.from({ length: count }, (_, index) => ({
+    upstream: `${service}-${index + 1}`,
+    service,
+    ...options,
+  }));
+}
+
+function countRequests(fixture: EntryFixture, type: 'request' | 'slotRequest' | 'orderPut') {
+  return fixture.agents.reduce((sum, agent) => sum + agent.countReceived(type), 0);
+}
+
+describe('entry near its drain limit', () => {
+  let fixture: EntryFixture;
+  afterEach(async () => {
+    await fixture.close();
+  });
+
+  // The connection was cut without a response, so the caller could not know that nothing had run.
+  for (const path of [PUMP_CALLS, LEDGER_CALLS, CHAT, ORDERS])
+    it(`guards against cutting a request to ${path} whose body is incomplete at the limit`, async () => {
+      fixture = await startFixture([
+        ...createAgents('pump', 1),
+        ...createAgents('ledger', 1),
+        ...createAgents('chat', 1),
+      ]);
+      const { socket, received } = sendRaw(fixture, `${formatHead('POST', path, 10)}{"a"`);
+      await waitMs(50);
+      const { drained } = await beginDrain(fixture);
+      await Promise.race([once(socket, 'data'), once(socket, 'close')]);
+      socket.write(': 123}');
+      await drained;
+      expect(await received).to.match(/^HTTP\/1\.1 503 .*"code":"draining"/s);
+      expect(countRequests(fixture, 'request') + countRequests(fixture, 'slotRequest')).to.equal(0);
+    });
+
+  // A body that came in the flush time after the limit was sent on, and its response was cut.
+  it('guards against sending an order whose body arrives after the limit', async () => {
+    fixture = await startFixture(createAgents('ledger', 1));
+    const [agent] = fixture.agents;
+    const { address, incarnation } = agent!;
+    const owner = { host: '127.0.0.1', workspace: 'branch', service: 'ledger' };
+    const id = createOrderId({ address, incarnation, ...owner, expiresAt: 0 });
+    const head = formatHead('PUT', `${ORDERS}/${id}`, 10);
+    const { socket, received } = sendRaw(fixture, `${head}{"a"`);
+    await waitMs(50);
+    const { drained } = await beginDrain(fixture);
+    await waitMs(LIMIT_MS + 80);
+    socket.write(': 123}');
+    await drained;
+    expect(await received).to.match(/^HTTP\/1\.1 503 .*"code":"draining"/s);
+    expect(countRequests(fixture, 'orderPut')).to.equal(0);
+  });
+});
--- a/src/process/entry/entryDaemon.ts
+++ b/src/process/entry/entryDaemon.ts
@@ -222,6 +222,7 @@
     const unfinished = this.http.activeRequests;
     if (unfinished === 0) return;
     this.dependencies.logger.warn({ unfinished }, 'cancelling unfinished requests');
+    this.http.cancelReads();
     this.runner.cancelAll();
     this.calls.failAll();
     await sleep(CANCEL_FLUSH_MS);
--- a/src/request/http/callRoute.ts
+++ b/src/request/http/callRoute.ts
@@ -24,7 +24,7 @@
   const header = exchange.request.headers['x-deadline-ms'];
   const deadline = computeDeadline(header, service.defaultDeadlineMs, exchange.arrivedAt);
   if (deadline.isErr()) return deadline;
-  const read = await readJson(exchange.request, context.maxBodyBytes);
+  const read = await readJson(exchange.request, exchange.bodyLimits);
   if (read.isErr()) return read;
   const { bytes } = read.value;
   const ran = await context.runner.run({
--- a/src/request/http/chatRoute.ts
+++ b/src/request/http/chatRoute.ts
@@ -18,7 +18,7 @@
  * @returns Nothing, or the error to respond with
  */
 export const handleChat: RouteHandler = async (exchange, context) => {
-  const read = await readJson(exchange.request, context.maxBodyBytes);
+  const read = await readJson(exchange.request, exchange.bodyLimits);
   if (read.isErr()) return read;
   const parsed = parseChat(read.value.value);
   if (parsed.isErr()) return parsed;
--- a/src/request/http/errors.spec.ts
+++ b/src/request/http/errors.spec.ts
@@ -129,7 +129,7 @@
     const body = new PassThrough() as unknown as IncomingMessage;
     Object.assign(body, { headers: {} });
     (body as unknown as PassThrough).write('{');
-    const read = await readBody(body, 100, 20);
+    const read = await readBody(body, { maxBytes: 100, timeoutMs: 20 });
     expect(read.isErr() && read.error.code).to.equal('timeout');
   });
 
--- a/src/request/http/httpServer.ts
+++ b/src/request/http/httpServer.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from 'node:crypto';
+import { setMaxListeners } from 'node:events';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
@@ -63,6 +64,7 @@
   private arrivals = 0;
   private readonly pauses = new PauseDetector(Date.now());
   private readonly pauseTimer: NodeJS.Timeout;
+  private readonly readController = new AbortController();
 
   constructor(private readonly context: HttpContext) {
     this.server = createServer({
@@ -72,6 +74,8 @@
       keepAliveTimeout: KEEP_ALIVE_MS,
       noDelay: true,
     });
+    // One listener for each request whose body is being read.
+    setMaxListeners(0, this.readController.signal);
     this.server.on('clientError', rejectMalformed);
     this.server.on('connection', (socket) => {
       this.arrivals += 1;
@@ -131,6 +135,11 @@
     }
   }
 
+  /** Refuses all requests whose body is incomplete. */
+  cancelReads(): void {
+    this.readController.abort();
+  }
+
   /** Closes all connections. */
   close(): void {
     clearInterval(this.pauseTimer);
@@ -202,7 +211,17 @@
     const params = request.params as Readonly<Record<string, string>>;
     const workspace = caller.value;
     const { signal } = disconnected;
-    const exchange = { request, response, params, requestId, workspace, arrivedAt, signal };
+    const bodyLimits = { maxBytes: context.maxBodyBytes, stopSignal: this.readController.signal };
+    const exchange = {
+      request,
+      response,
+      params,
+      requestId,
+      workspace,
+      arrivedAt,
+      signal,
+      bodyLimits,
+    };
     try {
       const handled = await route.handle(exchange, context);
       if (handled.isOk()) return;
--- a/src/request/http/readBody.ts
+++ b/src/request/http/readBody.ts
@@ -5,18 +5,24 @@
 import type { RequestError } from '../../errors.js';
 import { createError } from '../../errors.js';
 
+export interface BodyLimits {
+  readonly maxBytes: number;
+  /** Maximum time until the body is complete. */
+  readonly timeoutMs?: number;
+  /** Aborted when this process ends and no longer waits for the rest of the body. */
+  readonly stopSignal?: AbortSignal;
+}
+
 /**
  * Reads a request body, with limits on size and time.
  *
  * @param request - HTTP request
- * @param maxBytes - Maximum size of the body
- * @param timeoutMs - Maximum time until the body is complete
- * @returns The body, or `too_large`, `timeout` or `cancelled`
+ * @param limits - Limits on size and time
+ * @returns The body, or `too_large`, `timeout`, `draining` or `cancelled`
  */
 export function readBody(
   request: IncomingMessage,
-  maxBytes: number,
-  timeoutMs: number = defaults.bodyTimeoutMs,
+  { maxBytes, timeoutMs = defaults.bodyTimeoutMs, stopSignal }: BodyLimits,
 ): Promise<Result<Buffer<ArrayBuffer>, RequestError>> {
   if (Number(request.headers['content-length'] ?? 0) > maxBytes)
     return Promise.resolve(createSizeError(maxBytes));
@@ -26,6 +32,7 @@
     const settle = (result: Result<Buffer<ArrayBuffer>, RequestError>): void => {
       clearTimeout(timer);
       request.off('data', onData);
+      stopSignal?.removeEventListener('abort', onStop);
       resolve(result);
     };
     const timer = setTimeout(() => {
@@ -36,7 +43,12 @@
       if (size > maxBytes) settle(createSizeError(maxBytes));
       else parts.push(part);
     };
+    const onStop = (): void => {
+      const message = 'this entry shut down before the body was complete; nothing was run';
+      settle(Err(createError('draining', message)));
+    };
     request.on('data', onData);
+    stopSignal?.addEventListener('abort', onStop, { once: true });
     request.once('end', () => {
       settle(Ok(parts.length === 1 && parts[0] !== undefined ? parts[0] : Buffer.concat(parts)));
     });
@@ -57,14 +69,14 @@
  * Reads a JSON body, with the same limits.
  *
  * @param request - HTTP request
- * @param maxBytes - Maximum size of the body
+ * @param limits - Limits on size and time
  * @returns Bytes and parsed value; an empty body is `undefined`
  */
 export async function readJson(
   request: IncomingMessage,
-  maxBytes: number,
+  limits: BodyLimits,
 ): Promise<Result<{ bytes: Buffer<ArrayBuffer>; value: unknown }, RequestError>> {
-  const read = await readBody(request, maxBytes);
+  const read = await readBody(request, limits);
   if (read.isErr()) return read;
   const bytes = read.value;
   if (bytes.length === 0) return Ok({ bytes, value: undefined });
--- a/src/request/http/types.ts
+++ b/src/request/http/types.ts
@@ -6,6 +6,7 @@
 import type { Logger } from '../../process/logging.js';
 import type { Metrics } from '../../process/metrics.js';
 import type { ConfigurationView } from '../../version/configuration/types.js';
+import type { BodyLimits } from './readBody.js';
 import type { OrderDispatcher } from '../orders/orderDispatcher.js';
 
 /** Components of the entry that the routes use. */
@@ -31,6 +32,8 @@
   readonly arrivedAt: number;
   /** Aborted when the caller closes the connection before the response is complete. */
   readonly signal: AbortSignal;
+  /** Limits on the request body. */
+  readonly bodyLimits: BodyLimits;
 }
 
 /** Responds to an exchange, or returns the error to respond with. */
--- a/src/request/orders/orderRoutes.ts
+++ b/src/request/orders/orderRoutes.ts
@@ -25,7 +25,7 @@
   const access = checkAccess(context.configuration, workspace, id);
   if (access.isErr()) return access;
   if (!access.value.orders) return Err(createError('forbidden', `service ${id} takes no orders`));
-  const read = await readJson(request, context.maxBodyBytes);
+  const read = await readJson(request, exchange.bodyLimits);
   if (read.isErr()) return read;
   const parsed = slotSchema.safeParse(read.value.value ?? {});
   if (!parsed.success)
@@ -51,7 +51,7 @@
     const defaultMs = service?.defaultDeadlineMs ?? defaults.requestDeadlineMs;
     const deadline = computeDeadline(request.headers['x-deadline-ms'], defaultMs, arrivedAt);
     if (deadline.isErr()) return deadline;
-    const read = await readBody(request, context.maxBodyBytes);
+    const read = await readBody(request, exchange.bodyLimits);
     if (read.isErr()) return read;
     const remainingMs = deadline.value - Date.now();
     if (remainingMs <= 0)
--- a/test/support/entryFixture.ts
+++ b/test/support/entryFixture.ts
@@ -24,10 +24,12 @@
  * connects it to fake agents and waits until all links are open.
  *
  * @param agentOptions - Options of each agent
+ * @param drainLimitMs - Drain limit of the entry
  * @returns The running fixture
  */
 export async function startEntryFixture(
   agentOptions: readonly FakeAgentOptions[],
+  drainLimitMs = 1_000,
 ): Promise<EntryFixture> {
   const configuration = new MemoryConfiguration();
   const shares = { chat: 0.5, ledger: 0.5, pump: 0.5 };
@@ -54,7 +56,7 @@
       operatorPort: 0,
       httpPort: 0,
       seeds: [],
-      drainLimitMs: 1_000,
+      drainLimitMs,
       linksPerService: 4,
       maxBodyBytes: 2_000,
       routingPolicy: 'affinity',
