fix: send no slot request or order after the drain limit of an entry

Cause: at the limit the pending messages to agents fail, which a slot request took for a failure of its agent and asked the next one. An order that waited for a temporary link was sent whenever the link opened. The process ended before either got its response.

Evidence: entryDaemon.spec.ts on the former code, both new tests failed: the callers saw `SocketError: other side closed`, the slot request had reached a second agent.

Change: from the limit on the order dispatcher sends nothing and ends the waits for links with `draining`. PUTs that were sent stay `unknown`.

--- a/src/process/entry/entryDaemon.spec.ts
+++ b/src/process/entry/entryDaemon.spec.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai';
 import { once } from 'node:events';
-import type { Socket } from 'node:net';
-import { connect } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { connect, createServer } from 'node:net';
 import type { EntryFixture } from '../../../test/support/entryFixture.js';
-import { startEntryFixture } from '../../../test/support/entryFixture.js';
+import { startEntryFixture, waitUntil } from '../../../test/support/entryFixture.js';
 import type { FakeAgentOptions } from '../../../test/support/fakeAgent.js';
 import { waitMs } from '../../../test/support/waiting.js';
 import { createOrderId } from '../../protocol/orderId.js';
@@ -68,8 +68,10 @@
 
 describe('entry near its drain limit', () => {
   let fixture: EntryFixture;
+  const servers: Server[] = [];
   afterEach(async () => {
     await fixture.close();
+    for (const server of servers.splice(0)) server.close();
   });
 
   // The connection was cut without a response, so the caller could not know that nothing had run.
@@ -107,4 +109,43 @@
     expect(await received).to.match(/^HTTP\/1\.1 503 .*"code":"draining"/s);
     expect(countRequests(fixture, 'orderPut')).to.equal(0);
   });
+
+  // After the limit the request was sent to the next agent, and its caller got no response.
+  it('guards against asking another agent for order slots after the limit', async () => {
+    const handlers = { slotRequest: () => void (received += 1) };
+    let received = 0;
+    fixture = await startFixture(createAgents('ledger', 3, { handlers }));
+    const answer = fixture.post(ORDERS, { count: 1 });
+    await waitUntil(() => received === 1);
+    const { drained } = await beginDrain(fixture);
+    const response = await answer;
+    expect(response.status).to.equal(503);
+    expect(await response.json()).to.nested.include({
+      'error.code': 'draining',
+      outcome: 'not-run',
+    });
+    await drained;
+    expect(received).to.equal(1);
+  });
+
+  // The wait for the link outlasted the limit: the order was sent after it, or the caller got no response.
+  it('guards against an order that waits for a link to its executor at the limit', async () => {
+    fixture = await startFixture([]);
+    const silent = createServer((socket) => socket.on('error', () => undefined));
+    servers.push(silent.listen(0, '127.0.0.1'));
+    await once(silent, 'listening');
+    const address = `127.0.0.1:${(silent.address() as AddressInfo).port}`;
+    fixture.configuration.putUpstream('far', 'far', address);
+    fixture.configuration.putService('far', { kind: 'plain' });
+    const owner = { host: '127.0.0.1', workspace: 'branch', service: 'ledger' };
+    const id = createOrderId({ address, incarnation: 'x', ...owner, expiresAt: 0 });
+    await waitMs(500);
+    const answer = fixture.call('PUT', `${ORDERS}/${id}`, '{}');
+    await waitMs(50);
+    const { drained } = await beginDrain(fixture);
+    const response = await answer;
+    expect(response.status).to.equal(503);
+    expect(await response.json()).to.nested.include({ 'error.code': 'draining' });
+    await drained;
+  });
 });
--- a/src/process/entry/entryDaemon.ts
+++ b/src/process/entry/entryDaemon.ts
@@ -56,6 +56,7 @@
   private readonly handlers: MessageHandlers;
   private readonly pool: AgentPool;
   private readonly runner: RequestRunner;
+  private readonly orders: OrderDispatcher;
   private readonly http: HttpServer;
   private readonly linkServer: LinkServer;
   private readonly stopController = new AbortController();
@@ -105,10 +106,11 @@
       listUpstreams,
     };
     this.runner = new RequestRunner(runnerDependencies);
+    this.orders = new OrderDispatcher(this.calls, this.createAgentDirectory());
     this.http = new HttpServer({
       configuration,
       runner: this.runner,
-      orders: new OrderDispatcher(this.calls, this.createAgentDirectory()),
+      orders: this.orders,
       metrics,
       logger,
       maxBodyBytes: options.maxBodyBytes,
@@ -224,6 +226,7 @@
     this.dependencies.logger.warn({ unfinished }, 'cancelling unfinished requests');
     this.http.cancelReads();
     this.runner.cancelAll();
+    this.orders.stop();
     this.calls.failAll();
     await sleep(CANCEL_FLUSH_MS);
   }
--- a/src/request/orders/orderDispatcher.ts
+++ b/src/request/orders/orderDispatcher.ts
@@ -61,11 +61,21 @@
 
 /** Sends the slot requests and order messages of an entry to agents. */
 export class OrderDispatcher {
+  private isStopped = false;
+  /** Ends the wait for a temporary link, by wait. */
+  private readonly linkWaits = new Set<() => void>();
+
   constructor(
     private readonly calls: CallTable,
     private readonly routes: AgentDirectory,
   ) {}
 
+  /** Sends nothing more, and ends the waits for links; messages that were sent keep waiting for their reply. */
+  stop(): void {
+    this.isStopped = true;
+    for (const endWait of [...this.linkWaits]) endWait();
+  }
+
   /**
    * Requests order slots from the least loaded healthy agent. A slot request runs nothing, so it is retried at others.
    *
@@ -95,6 +105,8 @@
       const message = { type: 'slotRequest' as const, call, workspace, service, count };
       const reply = await this.calls.send(link, message, remainingMs);
       if (typeof reply === 'string') {
+        if (this.isStopped)
+          return Err(createError('draining', 'this entry shut down before it got order slots'));
         error = createError('upstream_failed', 'the agent did not answer');
         continue;
       }
@@ -114,6 +126,8 @@
    */
   async run(order: OrderCall): Promise<Result<OrderResponse, RequestError>> {
     const found = await this.findExecutor(order.parts);
+    if (this.isStopped)
+      return Err(createError('draining', 'this entry shut down before it sent the order'));
     if (typeof found === 'string') {
       const unknown = createUnknown(order.id, found, ADVICE_UNREACHABLE);
       return Ok(found === EXECUTOR_REPLACED ? { ...unknown, final: true } : unknown);
@@ -157,12 +171,26 @@
       if (isExecutor(link, parts)) return { executor: link, temporary: false };
     if (!this.routes.isKnownAddress(parts.address))
       return 'neither configuration nor a link names the address in the id';
-    const link = await this.routes.openLink(parts.address);
+    const link = await this.waitForLink(parts.address);
     if (link === undefined) return 'the executor is not reachable';
     if (isExecutor(link, parts)) return { executor: link, temporary: true };
     link.close();
     return EXECUTOR_REPLACED;
   }
+
+  private waitForLink(address: string): Promise<PeerLink | undefined> {
+    return new Promise((resolve) => {
+      const endWait = (): void => {
+        this.linkWaits.delete(endWait);
+        resolve(undefined);
+      };
+      this.linkWaits.add(endWait);
+      void this.routes.openLink(address).then((link) => {
+        if (this.linkWaits.delete(endWait)) resolve(link);
+        else link?.close();
+      });
+    });
+  }
 }
 
 function isExecutor(link: PeerLink, { host, incarnation }: OrderIdParts): boolean {
