fix: begin no work at an entry that its drain limit is certain to cut

Cause: a request whose body came late in a drain, a retry and a resumption were sent to an agent without regard to the time left.

Change: in a drain, work that may not be repeated is begun only if its deadline lies before the limit, a chat only if its shortest duration does. The others get `draining` at once.

--- a/src/process/entry/entryDaemon.spec.ts
+++ b/src/process/entry/entryDaemon.spec.ts
@@ -5,6 +5,7 @@
 import type { EntryFixture } from '../../../test/support/entryFixture.js';
 import { startEntryFixture, waitUntil } from '../../../test/support/entryFixture.js';
 import type { FakeAgentOptions } from '../../../test/support/fakeAgent.js';
+import { sendChunks, sendEnd } from '../../../test/support/fakeAgent.js';
 import { waitMs } from '../../../test/support/waiting.js';
 import { createOrderId } from '../../protocol/orderId.js';
 
@@ -14,6 +15,7 @@
 const PUMP_CALLS = '/v1/services/pump/calls';
 const LEDGER_CALLS = '/v1/services/ledger/calls';
 const CHAT = '/v1/chat/completions';
+const chat = { model: 'chat', messages: [{ role: 'user', content: 'hello' }] };
 
 function startFixture(agents: readonly FakeAgentOptions[]): Promise<EntryFixture> {
   return startEntryFixture(agents, LIMIT_MS);
@@ -161,4 +163,72 @@
     await drained;
     expect(countRequests(fixture, 'request')).to.equal(1);
   });
+
+  // The call was sent to an agent and cut at the limit, with an unknown outcome.
+  it('guards against beginning a call that may not be repeated and may outlast the limit', async () => {
+    fixture = await startFixture(createAgents('pump', 1));
+    const { socket, received } = sendRaw(fixture, `${formatHead('POST', PUMP_CALLS, 10)}{"a"`);
+    await waitMs(50);
+    const { drained } = await beginDrain(fixture);
+    await waitMs(LIMIT_MS / 2);
+    socket.write(': 123}');
+    expect(await received).to.match(/^HTTP\/1\.1 503 .*"code":"draining"/s);
+    expect(countRequests(fixture, 'request')).to.equal(0);
+    await drained;
+  });
+
+  it('guards against refusing a late call whose deadline lies before the limit', async () => {
+    const onRequest: FakeAgentOptions['onRequest'] = ({ attempt }, link) => {
+      sendEnd(link, attempt, 0, '{}');
+    };
+    fixture = await startFixture(createAgents('pump', 1, { onRequest }));
+    const head = formatHead('POST', PUMP_CALLS, 10, 'x-deadline-ms: 500\r\n');
+    const { socket, received } = sendRaw(fixture, `${head}{"a"`);
+    await waitMs(50);
+    const { drained } = await beginDrain(fixture);
+    await waitMs(LIMIT_MS / 4);
+    socket.write(': 123}');
+    await drained;
+    expect(await received).to.match(/^HTTP\/1\.1 200 /);
+  });
+
+  // The order was given to its executor, and its caller learned of the limit only.
+  it('guards against beginning an order whose reply may outlast the limit', async () => {
+    fixture = await startFixture(createAgents('ledger', 1));
+    const { address, incarnation } = fixture.agents[0]!;
+    const owner = { host: '127.0.0.1', workspace: 'branch', service: 'ledger' };
+    const id = createOrderId({ address, incarnation, ...owner, expiresAt: 0 });
+    const { socket, received } = sendRaw(
+      fixture,
+      `${formatHead('PUT', `${ORDERS}/${id}`, 10)}{"a"`,
+    );
+    await waitMs(50);
+    const { drained } = await beginDrain(fixture);
+    await waitMs(LIMIT_MS / 2);
+    socket.write(': 123}');
+    expect(await received).to.match(/^HTTP\/1\.1 503 .*"code":"draining"/s);
+    expect(countRequests(fixture, 'orderPut')).to.equal(0);
+    await drained;
+  });
+
+  // The retry began work that the limit was certain to cut.
+  it('guards against resuming a chat that cannot end before the limit', async () => {
+    const onRequest: FakeAgentOptions['onRequest'] = ({ attempt }, link) => {
+      sendChunks(link, attempt, ['x']);
+      setTimeout(() => {
+        link.send({ type: 'fail', attempt, code: 'upstream_failed', message: '', started: true });
+      }, 200);
+    };
+    fixture = await startFixture(createAgents('chat', 2, { onRequest }));
+    // At 10 tokens per second, the remaining 15 tokens take 1.5 s.
+    for (const [index, { address }] of fixture.agents.entries())
+      fixture.configuration.putUpstream(`chat-${index + 1}`, 'chat', address, 'ikeja', 10);
+    const answer = fixture.post(CHAT, { ...chat, stream: true });
+    await waitUntil(() => countRequests(fixture, 'request') === 1);
+    const { drained } = await beginDrain(fixture);
+    const text = await (await answer).text().catch((error: unknown) => String(error));
+    expect(text).to.not.contain('[DONE]');
+    await drained;
+    expect(countRequests(fixture, 'request')).to.equal(1);
+  });
 });
--- a/src/process/entry/entryDaemon.ts
+++ b/src/process/entry/entryDaemon.ts
@@ -62,6 +62,8 @@
   private readonly stopController = new AbortController();
   private operatorServer: OperatorServer | undefined;
   private draining = false;
+  /** Time at which the drain cancels the unfinished requests, in milliseconds. */
+  private drainEnd = Number.POSITIVE_INFINITY;
   private readonly removeListener: () => void;
   private readonly expiryTimer: NodeJS.Timeout;
   private readonly stallTimer: NodeJS.Timeout;
@@ -104,6 +106,7 @@
       policy,
       metrics,
       listUpstreams,
+      getDrainEnd: () => this.drainEnd,
     };
     this.runner = new RequestRunner(runnerDependencies);
     this.orders = new OrderDispatcher(this.calls, this.createAgentDirectory());
@@ -115,6 +118,7 @@
       logger,
       maxBodyBytes: options.maxBodyBytes,
       isDraining: () => this.draining,
+      getDrainEnd: () => this.drainEnd,
       isReady: () => distribution?.isReady() ?? true,
     });
     this.linkServer = new LinkServer({
@@ -199,6 +203,7 @@
 
   async drain(): Promise<void> {
     this.draining = true;
+    this.drainEnd = Date.now() + this.options.drainLimitMs;
     for (const link of this.linkServer.links) link.send({ type: 'draining' });
     await this.http.stopAccepting();
     await this.http.waitUntilIdle(AbortSignal.timeout(this.options.drainLimitMs));
--- a/src/process/entry/requestRunner.ts
+++ b/src/process/entry/requestRunner.ts
@@ -39,6 +39,8 @@
   readonly metrics: Metrics;
   /** Lists all configured upstreams of a service, linked or not. */
   readonly listUpstreams: (service: ServiceId) => UpstreamId[];
+  /** Time at which a drain cancels the unfinished requests, in milliseconds; infinite without a drain. */
+  readonly getDrainEnd: () => number;
 }
 
 export interface RunRequest {
@@ -205,9 +207,18 @@
     if (agent === undefined) throw new Error('chosen upstream is not in the pool');
     const minDurationMs =
       request.kind === 'chat' ? this.estimateMinDurationMs(agent, request, progress.tokens) : 0;
-    if (request.deadlineAt - now > minDurationMs) return Ok(agent);
-    const message = 'the deadline cannot be met';
-    return Err(createError('deadline_unreachable', message, DEADLINE_RETRY_AFTER_MS));
+    if (request.deadlineAt - now <= minDurationMs) {
+      const message = 'the deadline cannot be met';
+      return Err(createError('deadline_unreachable', message, DEADLINE_RETRY_AFTER_MS));
+    }
+    if (this.canEndInDrain(request, minDurationMs, now)) return Ok(agent);
+    return Err(createError('draining', 'this entry shuts down before the request could end'));
+  }
+
+  /** A request that may not be repeated is begun only if even its deadline lies before the end of the drain. */
+  private canEndInDrain(request: RunRequest, minDurationMs: number, now: number): boolean {
+    const drainEnd = this.dependencies.getDrainEnd();
+    return request.repeatable ? drainEnd - now > minDurationMs : request.deadlineAt <= drainEnd;
   }
 
   /** Checks whether a suspect should wait for a link, which takes a few milliseconds to open. */
--- a/src/request/http/types.ts
+++ b/src/request/http/types.ts
@@ -19,6 +19,8 @@
   readonly maxBodyBytes: number;
   isDraining(): boolean;
   isReady(): boolean;
+  /** Time at which a drain cancels the unfinished requests, in milliseconds; infinite without a drain. */
+  getDrainEnd(): number;
 }
 
 /** One HTTP request of an authenticated workspace. */
--- a/src/request/orders/orderRoutes.ts
+++ b/src/request/orders/orderRoutes.ts
@@ -56,6 +56,9 @@
     const remainingMs = deadline.value - Date.now();
     if (remainingMs <= 0)
       return Err(createError('timeout', 'the deadline passed; nothing was sent'));
+    // The reply could come after this entry has ended; at another one the caller can repeat the order.
+    if (type === 'orderPut' && deadline.value > context.getDrainEnd())
+      return Err(createError('draining', 'this entry shuts down; nothing was sent'));
     const call = { type, id, parts: parsed.value, body: read.value, remainingMs };
     const ran = await context.orders.run(call);
     if (ran.isErr()) return ran;
--- a/test/support/memoryConfiguration.ts
+++ b/test/support/memoryConfiguration.ts
@@ -23,8 +23,15 @@
     this.notify(`service/${id}`);
   }
 
-  putUpstream(id: string, service: string, address: string, availabilityZone = 'ikeja'): void {
-    const state = { service, address, availabilityZone, host: '127.0.0.1', slots: 4 };
+  putUpstream(
+    id: string,
+    service: string,
+    address: string,
+    availabilityZone = 'ikeja',
+    tokensPerSecond?: number,
+  ): void {
+    const host = '127.0.0.1';
+    const state = { service, address, availabilityZone, host, slots: 4, tokensPerSecond };
     this.upstreams.set(toId(id), upstreamSchema.parse(state));
     this.notify(`upstream/${id}`);
   }
