fix: begin no order, call or chat at an agent that its drain limit cuts

Cause: a draining agent starts its queued work until the limit, and sends the bodies of issued orders on up to it. What runs at the limit is cut: an order ends `unknown`, a call that may not be repeated ends with 502, though both could have been refused before they were sent.

Change: DrainWindow compares the time left with the longest recent run, twice, and before the first run with half of the limit; for a chat with its estimated duration. Queued work without the time is refused as soon as this is known: orders `not-run`, requests `draining` and not started, which the entry sends elsewhere. The claim of an order checks once more.

--- a/src/process/agent/agentDaemon.spec.ts
+++ b/src/process/agent/agentDaemon.spec.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createExpectedTokens, startEngine } from '../../../test/standins/engine.js';
 import { startPlainService } from '../../../test/standins/plainService.js';
+import { waitUntil } from '../../../test/support/waiting.js';
 import { openLink } from '../../connection/linkClient.js';
 import type { Hello, PeerLink } from '../../connection/peerLink.js';
 import type { Message, MessageOf } from '../../protocol/messages.js';
@@ -48,7 +49,12 @@
 
 const cleanups: (() => Promise<unknown>)[] = [];
 
-async function startSetup(kind: 'engine' | 'plain', url: string, slots = 2): Promise<Setup> {
+async function startSetup(
+  kind: 'engine' | 'plain',
+  url: string,
+  slots = 2,
+  drainLimitMs = 3_000,
+): Promise<Setup> {
   const agent = await startAgent(
     {
       processId: 'agent-1',
@@ -58,7 +64,7 @@
       linkPort: 0,
       operatorPort: 0,
       seeds: [],
-      drainLimitMs: 3_000,
+      drainLimitMs,
       upstream: 'desk-1',
       service: 'desk',
       upstreamUrl: url,
@@ -217,4 +223,65 @@
     expect(late.state).to.equal('not-run');
     expect(plain.executions.length).to.equal(1);
   });
+
+  // Queued orders were begun until the limit, and the last one ended as `unknown`.
+  it('guards against beginning orders that the drain limit cuts', async () => {
+    const plain = await startPlainService();
+    cleanups.push(() => plain.close());
+    plain.control({ delayMs: 400 });
+    const { link, waitForMessage, agent } = await startSetup('plain', plain.url, 1, 1_000);
+    const owner = { workspace: 'small', service: 'desk' };
+    link.send({ type: 'slotRequest', call: 'c', ...owner, count: 4 });
+    const { ids } = await waitForMessage('slotReply', (reply) => reply.call === 'c');
+    const body = Buffer.from('{"amount":5}');
+    for (const order of ids)
+      link.send({ type: 'orderPut', call: order, ...owner, order, body, remainingMs: 8_000 });
+    await waitUntil('first order runs', () => plain.executions.length === 1);
+    const drained = agent.drain();
+    const states: string[] = [];
+    for (const id of ids)
+      states.push((await waitForMessage('orderReply', ({ call }) => call === id)).state);
+    await drained;
+    expect(states).to.not.include('unknown');
+    expect(states).to.include('done').and.to.include('not-run');
+    expect(plain.executions.length).to.equal(states.filter((state) => state === 'done').length);
+  });
+
+  // The call was begun and cut at the limit, so the entry could not send it to another agent.
+  it('guards against beginning calls that the drain limit cuts', async () => {
+    const plain = await startPlainService();
+    cleanups.push(() => plain.close());
+    plain.control({ delayMs: 400 });
+    const { link, waitForMessage, agent, received } = await startSetup(
+      'plain',
+      plain.url,
+      1,
+      1_000,
+    );
+    const ids = ['a', 'b', 'c', 'd'];
+    for (const id of ids) link.send({ ...createRequest(id, 'small', 1), kind: 'call' });
+    await waitUntil('first call runs', () => JSON.stringify(agent.dump()).includes('"running":1'));
+    await agent.drain();
+    await waitForMessage('fail', (fail) => fail.attempt === 'd');
+    const fails = received.filter((message) => message.type === 'fail');
+    expect(received.filter((message) => message.type === 'end')).to.not.deep.equal([]);
+    for (const { code, started } of fails)
+      expect([code, started]).to.deep.equal(['draining', false]);
+  });
+
+  it('guards against beginning a chat that the drain limit is certain to cut', async () => {
+    const engine = await startEngine({ tokensPerSecond: 200 });
+    cleanups.push(() => engine.close());
+    const { link, waitForMessage, agent } = await startSetup('engine', engine.url, 1, 1_000);
+    link.send(createRequest('measured', 'small', 40));
+    await waitForMessage('end', (end) => end.attempt === 'measured');
+    link.send(createRequest('running', 'small', 40));
+    link.send(createRequest('queued', 'small', 400));
+    await waitForMessage('chunk', (chunk) => chunk.attempt === 'running');
+    const drained = agent.drain();
+    const fail = await waitForMessage('fail', ({ attempt }) => attempt === 'queued');
+    expect([fail.code, fail.started]).to.deep.equal(['draining', false]);
+    await waitForMessage('end', (end) => end.attempt === 'running');
+    await drained;
+  });
 });
--- a/src/process/agent/agentDaemon.ts
+++ b/src/process/agent/agentDaemon.ts
@@ -212,6 +212,7 @@
     if (!this.draining) {
       this.draining = true;
       this.drainStartedAt = readClock();
+      this.dispatcher.beginDrain(this.options.drainLimitMs, this.drainStartedAt);
       for (const link of this.server.links) link.send({ type: 'draining' });
       this.reporter.publish();
     }
--- a/src/process/agent/dispatcher.ts
+++ b/src/process/agent/dispatcher.ts
@@ -4,6 +4,7 @@
 import type { RequestError } from '../../errors.js';
 import { createError } from '../../errors.js';
 import type { DispatcherPolicy, Job } from './dispatcherTypes.js';
+import { DrainWindow } from './drainWindow.js';
 import type { FairQueueOptions } from './fairQueue.js';
 import { FairQueue, MIN_WEIGHT } from './fairQueue.js';
 import type { WorkspaceUsage } from './preemption.js';
@@ -26,6 +27,7 @@
 
 const MIN_RETRY_AFTER_MS = 100;
 const MAX_RETRY_AFTER_MS = 10_000;
+const drainError = createError('draining', 'upstream is draining and has no time for the request');
 
 /**
  * Runs jobs with bounded concurrency in weighted fair order, and preempts streams to reclaim slots that a workspace
@@ -35,6 +37,7 @@
   private readonly queueThroughput: QueueThroughput;
   private readonly usage = new SlotUsage();
   private readonly requestThroughput = new RequestThroughput();
+  private readonly drainWindow = new DrainWindow();
   private fairQueue: FairQueue | undefined;
   private readonly pool: PQueue<FairQueue, FairQueueOptions>;
   private readonly queued = new Map<string, Job>();
@@ -153,6 +156,29 @@
     return true;
   }
 
+  /**
+   * Starts a drain: from now on, jobs that cannot end before its limit are refused.
+   *
+   * @param limitMs - Longest duration of the drain
+   * @param now - Current time in milliseconds
+   */
+  beginDrain(limitMs: number, now: number): void {
+    this.drainWindow.begin(limitMs, now);
+  }
+
+  /**
+   * Checks whether a job that starts now ends before the limit of the drain.
+   *
+   * @param job - Job
+   * @param now - Current time in milliseconds
+   * @returns False if it may be cut, or is certain to be if it can be resumed elsewhere
+   */
+  canEndInDrain(job: Pick<Job, 'preemptible' | 'workspace' | 'cost'>, now: number): boolean {
+    if (!job.preemptible) return this.drainWindow.hasTimeForRun(now);
+    const neededMs = this.requestThroughput.estimateMs(job.workspace, job.cost, now);
+    return this.drainWindow.hasTimeFor(neededMs, now);
+  }
+
   /**
    * Expires queued jobs, reclaims borrowed slots and updates the throughput measurement.
    *
@@ -160,9 +186,13 @@
    */
   update(now: number): void {
     for (const job of [...this.queued.values()]) {
-      if (job.expiresAt > now) continue;
-      this.remove(job.id);
-      job.expire();
+      if (job.expiresAt <= now) {
+        this.remove(job.id);
+        job.expire();
+      } else if (!this.canEndInDrain(job, now)) {
+        this.remove(job.id);
+        job.refuseInDrain(drainError);
+      }
     }
     this.queueThroughput.update(this.queued.size > 0, now);
     this.usage.expire(now);
@@ -215,6 +245,10 @@
       job.expire();
       return;
     }
+    if (!this.canEndInDrain(job, now)) {
+      job.refuseInDrain(drainError);
+      return;
+    }
     const runMs = this.estimateRunMs(job, now);
     // While other jobs are queued, the slot goes to a job that can still meet its deadline.
     if (this.queued.size > 0 && now + runMs >= job.expiresAt) {
@@ -226,6 +260,7 @@
     this.policy.onChange();
     const costBefore = job.cost;
     const outcome = await job.run();
+    if (!job.preemptible) this.drainWindow.recordRun(this.policy.readClock() - now);
     this.running.delete(job.id);
     this.preemptedForExclusive.delete(job.id);
     this.usage.record(job.workspace, -1, this.policy.readClock());
--- a/src/process/agent/dispatcherTypes.ts
+++ b/src/process/agent/dispatcherTypes.ts
@@ -16,6 +16,8 @@
   run(): Promise<'finished' | 'requeue'>;
   /** Called when the job is due to start but cannot meet its deadline. Jobs without it run regardless. */
   refuse?(error: RequestError): void;
+  /** Called in a drain when the job has not started and cannot end before the limit. */
+  refuseInDrain(error: RequestError): void;
   /** Called when the job expires in the queue. */
   expire(): void;
   /** Stops the job; `run` then resolves with `requeue`. */
--- a/src/process/agent/orderRunner.spec.ts
+++ b/src/process/agent/orderRunner.spec.ts
@@ -80,6 +80,19 @@
     await plain.close();
   });
 
+  // The drain could end while the connection was being opened, right before the order was written.
+  it('guards against sending an order that has no time to end before the drain limit', async () => {
+    let now = 1_000;
+    const { plain, dispatcher, runner, createPut } = await createSetup(() => now);
+    const { link, waitForReplies } = createLink();
+    dispatcher.beginDrain(1_000, now);
+    runner.put(createPut(0), link);
+    now += 900;
+    expect(await waitForReplies(1)).to.deep.equal(['not-run']);
+    expect(plain.executions.length).to.equal(0);
+    await plain.close();
+  });
+
   it('guards against a second run by concurrent repeats, and against a different body', async () => {
     const { plain, runner, createPut } = await createSetup(() => 1_000);
     plain.control({ delayMs: 30, resetAfterRun: true });
--- a/src/process/agent/orderRunner.ts
+++ b/src/process/agent/orderRunner.ts
@@ -192,6 +192,10 @@
       exclusive: false,
       preemptible: false,
       run: () => this.run(message, expiresAt),
+      refuseInDrain: ({ message: reason }) => {
+        this.queuedCount -= 1;
+        memory.markNotRun(message.order, `order was not run: ${reason}`);
+      },
       expire: () => {
         this.queuedCount -= 1;
         memory.markNotRun(
@@ -206,8 +210,8 @@
   }
 
   private async run(message: MessageOf<'orderPut'>, expiresAt: number): Promise<'finished'> {
-    const { memory, readClock, upstreamUrl, hasPaused, caller, metrics } = this.context;
-    const { order, body } = message;
+    const { memory, dispatcher, readClock, upstreamUrl, hasPaused, caller, metrics } = this.context;
+    const { order, body, workspace } = message;
     const abort = new AbortController();
     this.queuedCount -= 1;
     this.running.set(order, abort);
@@ -221,6 +225,8 @@
       claim: () => {
         const now = readClock();
         if (now >= expiresAt) memory.markNotRun(order, 'deadline passed before the order was sent');
+        if (!dispatcher.canEndInDrain({ preemptible: false, workspace, cost: ORDER_COST }, now))
+          memory.markNotRun(order, 'the drain left no time to send the order');
         return memory.claim(order, now);
       },
     });
--- a/src/process/agent/requestRunner.ts
+++ b/src/process/agent/requestRunner.ts
@@ -122,6 +122,9 @@
       refuse: (error: RequestError) => {
         this.fail(attempt, error);
       },
+      refuseInDrain: (error: RequestError) => {
+        this.fail(attempt, error);
+      },
       expire: () => {
         this.fail(attempt, stopErrors.timeout);
       },
