fix: end a map change before a ranker stops

Cause: a ranker ended at SIGTERM. At the coordinator a pass could then be held, which stops the whole group until a deputy or the next start releases it; if the change was being undone, no deputy may. At another ranker the coordinator could no longer arm the rank for the held pass.

Change: a stopping coordinator begins no change, abandons one for which no pass is held, and completes any other, for at most 3 s; its links close after that. Another ranker carries out orders until its rank has switched.

--- a/src/process/ranker/changeMap.ts
+++ b/src/process/ranker/changeMap.ts
@@ -70,9 +70,11 @@
     { kind: 'prepare', version, placement },
     (report) => report.prepared === version,
     PREPARE_TIMEOUT_MS,
+    () => isStopping(context),
   );
   if (prepared !== 'confirmed') return prepared === 'epoch' ? 'epoch_changed' : 'not_prepared';
   context.timer?.markStep('prepared', context.readClock());
+  if (isStopping(context)) return 'not_held';
   const heldAt = context.readClock();
   const pass = await holdPass(context, epoch);
   if (pass === undefined) return 'not_held';
@@ -118,7 +120,7 @@
   const heldPassDueAt = context.view.passClock.estimateStart(pass);
   if (heldPassDueAt !== undefined) context.timer?.recordWait(context.readClock() - heldPassDueAt);
   const deadlineAt = context.readClock() + SWITCH_TIMEOUT_MS;
-  while (context.readClock() < deadlineAt) {
+  while (context.readClock() < deadlineAt && !isStopping(context)) {
     const states = [...context.view.ranks.values()];
     if (hasOtherEpoch(states, epoch)) return 'epoch_changed';
     // All ranks are armed for the same pass, so the report of the local rank stands for all of them.
@@ -132,6 +134,10 @@
   return 'idle';
 }
 
+function isStopping({ stopSignal }: ChangeContext): boolean {
+  return stopSignal?.aborted === true;
+}
+
 async function holdPass(context: ChangeContext, epoch: number): Promise<number | undefined> {
   const isReliable =
     context.armMs !== undefined ||
@@ -193,6 +199,7 @@
   order: RankOrder,
   isConfirmed: (report: RankReport) => boolean,
   timeoutMs: number,
+  isAbandoned: () => boolean = () => false,
 ): Promise<'confirmed' | 'refused' | 'late' | 'epoch'> {
   const { view, readClock } = context;
   const deadlineAt = readClock() + timeoutMs;
@@ -208,7 +215,7 @@
     const open = states.filter(({ report }) => !done.has(report.rank) && !isConfirmed(report));
     if (open.length === 0 && states.length === view.size) return 'confirmed';
     if (refusedBy.size > 0) return 'refused';
-    if (now >= deadlineAt) return 'late';
+    if (now >= deadlineAt || isAbandoned()) return 'late';
     for (const state of open) {
       const { rank } = state.report;
       // A resend delays the replies of all ranks, so it waits for the outcome of the order before.
--- a/src/process/ranker/coordinator.ts
+++ b/src/process/ranker/coordinator.ts
@@ -43,6 +43,7 @@
 
 /**
  * Rebalances the experts of one group according to the demand of its requests, until aborted. Runs next to rank 0.
+ * Resolves after the end of the change in progress: one for which no pass is held yet is abandoned, another completed.
  *
  * @param options - Group, clock and log
  */
@@ -51,6 +52,7 @@
   const context: ChangeContext = {
     view,
     readClock,
+    stopSignal: signal,
     firstUnusedPass: 0,
     lastUnansweredOrderAt: -Infinity,
   };
@@ -120,7 +122,8 @@
   states: readonly RankState[],
   layout: ExpertLayout,
 ): Promise<boolean> {
-  const { view, logger, metrics, readClock } = options;
+  const { view, logger, metrics, readClock, signal } = options;
+  if (signal.aborted) return false;
   const { versions, planRate, shifts, overhead } = history;
   const placement = view.assemblePlacement(states);
   const demand = view.demand;
--- a/src/process/ranker/rankerDaemon.spec.ts
+++ b/src/process/ranker/rankerDaemon.spec.ts
@@ -70,7 +70,7 @@
       await waitUntil('two reads', () => known.length > 1);
       expect(known[1]).to.include({ era: 2, revision: 7 });
     } finally {
-      daemon.stop();
+      await daemon.stop();
     }
   });
 });
--- a/src/process/ranker/rankerDaemon.ts
+++ b/src/process/ranker/rankerDaemon.ts
@@ -1,4 +1,5 @@
 import type { Server } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { randomUUID } from 'node:crypto';
 import { parseAddress } from '../../connection/linkClient.js';
 import { LinkServer } from '../../connection/linkServer.js';
@@ -37,6 +38,8 @@
 const FAST_POLL_AFTER_ARM_MS = 60;
 /** A released group begins the next pass within this time unless it is idle. */
 const FAST_POLL_AFTER_RELEASE_MS = 250;
+/** A map change that a stopping ranker takes part in ends within this time, unless a rank is unreachable. */
+const STOP_LIMIT_MS = 3_000;
 /** How long the local rank is polled at the fast interval after an order. */
 const fastPollAfterMs: Readonly<Record<RankOrder['kind'], number>> = {
   prepare: FAST_POLL_AFTER_PREPARE_MS,
@@ -58,6 +61,10 @@
 export class RankerDaemon {
   readonly metrics = new Metrics();
   private readonly stopController = new AbortController();
+  /** Ends the coordination before the links close. */
+  private readonly changeController = new AbortController();
+  /** Resolves when the coordinator has ended its last change; undefined at other rankers. */
+  private coordination: Promise<void> | undefined;
   private readonly server: LinkServer;
   private readonly incarnation = randomUUID();
   private readonly coordinators = new Map<PeerLink, RankOrderDecoder>();
@@ -113,8 +120,19 @@
     this.dependencies.logger.info({ incarnation: this.incarnation }, 'ranker started');
   }
 
-  /** Stops immediately; a held pass is released by the coordinator after its restart. */
-  stop(): void {
+  /**
+   * Stops without leaving a pass held, as its group stands still until it is released: the coordinator begins no map
+   * change and completes the one for which a pass is held; another ranker carries out orders until its rank has switched.
+   */
+  async stop(): Promise<void> {
+    this.changeController.abort();
+    this.groupLinks?.view.notifyWaiters();
+    const limit = new AbortController();
+    const timeout = sleep(STOP_LIMIT_MS, undefined, { signal: limit.signal }).catch(
+      () => undefined,
+    );
+    await Promise.race([this.coordination ?? this.waitForSwitch(), timeout]);
+    limit.abort();
     this.stopController.abort();
     this.server.close();
     this.metricsServer?.close();
@@ -246,6 +264,15 @@
     return outcome;
   }
 
+  /** Waits while a prepared map is not in use yet: its coordinator may hold a pass until this rank is armed. */
+  private async waitForSwitch(): Promise<void> {
+    while (this.coordinators.size > 0 && !this.stopController.signal.aborted) {
+      const read = await this.dependencies.engine.readReport();
+      if (read.isErr() || !isChangePending(read.value)) return;
+      await sleep(FAST_POLL_INTERVAL_MS);
+    }
+  }
+
   private addCoordinator(link: PeerLink): void {
     this.coordinators.set(link, new RankOrderDecoder());
     this.sentMapKey = undefined;
@@ -270,11 +297,11 @@
     });
     this.groupLinks = groupLinks;
     void groupLinks.refresh();
-    void coordinateGroup({
+    this.coordination = coordinateGroup({
       view: groupLinks.view,
       logger,
       metrics: this.metrics,
-      signal: this.stopController.signal,
+      signal: this.changeController.signal,
       readClock: () => performance.now(),
       readWallClock: () => Date.now(),
       getLayout: () => groupLinks.layout,
--- a/src/process/ranker/sendOrder.ts
+++ b/src/process/ranker/sendOrder.ts
@@ -12,6 +12,8 @@
 export interface ChangeContext {
   readonly view: GroupView;
   readonly readClock: () => number;
+  /** Aborted when the coordinator stops: no pass is held any more, and a held one is released. */
+  readonly stopSignal?: AbortSignal;
   /** Lowest pass that no earlier change has named; a late order of an earlier change must not match a new one. */
   firstUnusedPass: number;
   /** Time at which an order last remained unanswered. */
