test: guard the responses of requests that wait behind a stream in a drain

Cause: none found in the entry: no request behind one that closes the connection is begun, and the responses behind a stream are delivered.

Change: a test on one connection, before and after the start of a drain.

--- a/src/process/entry/entryDaemon.spec.ts
+++ b/src/process/entry/entryDaemon.spec.ts
@@ -231,4 +231,36 @@
     await drained;
     expect(countRequests(fixture, 'request')).to.equal(1);
   });
+
+  // A response behind one that closes the connection is dropped, so its request must not be begun.
+  it('guards against losing the responses of requests that wait behind a stream', async () => {
+    const delays: Record<string, number> = { chat: 300, pump: 20 };
+    const onRequest: FakeAgentOptions['onRequest'] = ({ attempt, service }, link) => {
+      sendChunks(link, attempt, ['x']);
+      setTimeout(() => {
+        sendEnd(link, attempt, 1, '{"ran":1}');
+      }, delays[service]);
+    };
+    fixture = await startFixture([
+      ...createAgents('chat', 1, { onRequest }),
+      ...createAgents('pump', 1, { onRequest }),
+    ]);
+    const stream = JSON.stringify({ ...chat, stream: true });
+    const call = `${formatHead('POST', PUMP_CALLS, 2)}{}`;
+    const closing = formatHead('POST', CHAT, stream.length, 'connection: close\r\n') + stream;
+    const keeping = formatHead('POST', CHAT, stream.length) + stream;
+    const first = sendRaw(fixture, closing + call);
+    const second = sendRaw(fixture, keeping + call);
+    await waitUntil(() => countRequests(fixture, 'request') === 3);
+    const { drained } = await beginDrain(fixture);
+    second.socket.write(call);
+    expect(await first.received).to.match(/^HTTP\/1\.1 200 .*\[DONE\]\s+0\s+$/s);
+    const responses = (await second.received).split('HTTP/1.1 ').slice(1);
+    expect(responses.map((text) => text.slice(0, 3))).to.deep.equal(['200', '200', '503']);
+    expect(responses[0]).to.contain('[DONE]');
+    expect(responses[1]).to.contain('{"ran":1}');
+    expect(responses[2]).to.contain('draining');
+    await drained;
+    expect(countRequests(fixture, 'request')).to.equal(3);
+  });
 });
