fix: answer not-run for orders that a stopped agent has sealed

Cause: a draining agent seals its open order slots and ends. Its entries did not learn of the seal, so a PUT for an id issued before, which had never run, got `unknown` for good.

Evidence: orders.spec.ts without the change: expected state 'not-run' but got 'unknown'; agentDaemon.spec.ts: no message tells of the seal.

Change: with the seal the agent sends `ordersSealed` to the entries that announce the feature, in batches. They accept it only from the incarnation that the ids name, and keep it for as long as the agent would have.

--- a/src/process/agent/agentDaemon.spec.ts
+++ b/src/process/agent/agentDaemon.spec.ts
@@ -8,6 +8,7 @@
 import type { Message, MessageOf } from '../../protocol/messages.js';
 import type { ConfigurationView } from '../../version/configuration/types.js';
 import { serviceSchema, upstreamSchema, workspaceSchema } from '../../version/ticket/types.js';
+import { SEALED_ORDERS_FEATURE } from '../../request/orders/sealedOrders.js';
 import { createLogger } from '../logging.js';
 import { Metrics } from '../metrics.js';
 import type { Daemon } from '../types.js';
@@ -87,12 +88,14 @@
     fail: recordMessage,
     load: recordMessage,
     draining: recordMessage,
+    ordersSealed: recordMessage,
   };
   const hello: Hello = {
     ...agent.createHello(),
     role: 'entry',
     processId: 'entry-1',
     upstreams: [],
+    features: [SEALED_ORDERS_FEATURE],
   };
   const opened = await openLink({
     address: `127.0.0.1:${agent.linkPort}`,
@@ -221,6 +224,8 @@
     link.send({ ...order, call: 'p3', order: ids[1]! });
     const late = await waitForMessage('orderReply', (answer) => answer.call === 'p3');
     expect(late.state).to.equal('not-run');
+    const sealed = await waitForMessage('ordersSealed', () => true);
+    expect(sealed.orders).to.deep.equal([ids[1]]);
     expect(plain.executions.length).to.equal(1);
   });
 
--- a/src/process/agent/agentDaemon.ts
+++ b/src/process/agent/agentDaemon.ts
@@ -3,6 +3,8 @@
 import { LinkServer } from '../../connection/linkServer.js';
 import type { Hello, PeerLink } from '../../connection/peerLink.js';
 import { defaults } from '../../defaults.js';
+import { maxSealedOrders } from '../../protocol/messages.js';
+import { SEALED_ORDERS_FEATURE } from '../../request/orders/sealedOrders.js';
 import { startOperatorServer } from '../operatorServer.js';
 import type { AgentOptions, Daemon } from '../types.js';
 import { createHandlers } from './agentHandlers.js';
@@ -70,6 +72,7 @@
   private readonly pauses = new PauseDetector(readClock(), MIN_PAUSE_MS);
   private draining = false;
   private drainStartedAt = 0;
+  private ordersSealed = false;
   private closeOperatorServer: () => void = () => undefined;
   private removeConfigurationListener: () => void = () => undefined;
 
@@ -220,7 +223,7 @@
     while (readClock() < deadlineAt && this.isBusy(readClock()))
       await sleep(DRAIN_POLL_INTERVAL_MS);
     this.requests.stopAll('drain');
-    this.orders?.settleAll();
+    this.sealOrders();
     // Gives the links time to write the final outcomes.
     await sleep(DRAIN_POLL_INTERVAL_MS);
   }
@@ -232,13 +235,28 @@
     this.removeConfigurationListener();
     this.dependencies.distribution?.stop();
     this.requests.stopAll('drain');
-    this.orders?.settleAll();
+    this.sealOrders();
     this.server.close();
     this.closeOperatorServer();
     await this.dependencies.group?.stop();
     await this.adapter?.close();
   }
 
+  /** Settles all orders, and tells the entries which have not run, as its memory ends with this process. */
+  private sealOrders(): void {
+    if (this.ordersSealed) return;
+    this.ordersSealed = true;
+    this.orders?.settleAll();
+    const sealed = this.memory?.listNotRun() ?? [];
+    for (let start = 0; start < sealed.length; start += maxSealedOrders) {
+      const orders = sealed.slice(start, start + maxSealedOrders);
+      for (const link of this.server.links) {
+        if (link.peer.features?.includes(SEALED_ORDERS_FEATURE) !== true) continue;
+        link.send({ type: 'ordersSealed', orders });
+      }
+    }
+  }
+
   private addLink(link: PeerLink): void {
     this.dependencies.distribution?.addLink(link);
     this.dependencies.group?.addLink(link);
--- a/src/process/agent/orderMemory.ts
+++ b/src/process/agent/orderMemory.ts
@@ -215,6 +215,17 @@
     }
   }
 
+  /**
+   * Lists the orders that have not run and never will.
+   *
+   * @returns Order ids
+   */
+  listNotRun(): string[] {
+    const orders: string[] = [];
+    for (const [order, { state }] of this.slots) if (state === 'not-run') orders.push(order);
+    return orders;
+  }
+
   /**
    * Marks expired slots as `not-run` and deletes those past the retention margin.
    *
--- a/src/process/entry/entryDaemon.ts
+++ b/src/process/entry/entryDaemon.ts
@@ -10,6 +10,7 @@
 import { CallTable } from '../../request/orders/callTable.js';
 import type { AgentDirectory } from '../../request/orders/orderDispatcher.js';
 import { OrderDispatcher } from '../../request/orders/orderDispatcher.js';
+import { SEALED_ORDERS_FEATURE, SealedOrders } from '../../request/orders/sealedOrders.js';
 import { RetryBudgets } from '../../request/retry/retryBudget.js';
 import { routingPolicies } from '../../request/routing/registry.js';
 import type { OperatorServer } from '../operatorServer.js';
@@ -51,6 +52,7 @@
   private readonly incarnation = randomBytes(12).toString('base64url');
   private readonly attempts: AttemptTable;
   private readonly calls = new CallTable();
+  private readonly sealedOrders = new SealedOrders();
   private readonly suspects = new SuspectList();
   private readonly budgets = new RetryBudgets();
   private readonly handlers: MessageHandlers;
@@ -109,7 +111,7 @@
       getDrainEnd: () => this.drainEnd,
     };
     this.runner = new RequestRunner(runnerDependencies);
-    this.orders = new OrderDispatcher(this.calls, this.createAgentDirectory());
+    this.orders = new OrderDispatcher(this.calls, this.createAgentDirectory(), this.sealedOrders);
     this.http = new HttpServer({
       configuration,
       runner: this.runner,
@@ -177,6 +179,7 @@
       host,
       availabilityZone,
       upstreams: [],
+      features: [SEALED_ORDERS_FEATURE],
     };
   }
 
@@ -263,6 +266,9 @@
         this.suspects.applyReport(`${processId}/${incarnation}`, message.suspects, now);
       },
       draining: (_message, link) => this.pool.findAgent(link)?.markDraining(),
+      ordersSealed: ({ orders }, link) => {
+        this.sealedOrders.record(orders, link.peer, Date.now());
+      },
     };
   }
 
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -177,6 +177,14 @@
 
 const draining = z.object({ type: z.literal('draining') });
 
+export const maxSealedOrders = 1_000;
+
+/** Agent to entries, when it stops: these orders have not run and never will. */
+const ordersSealed = z.object({
+  type: z.literal('ordersSealed'),
+  orders: z.array(orderId).max(maxSealedOrders),
+});
+
 /** Message between ranks of a group or from a map change coordinator; the body is defined in `src/version/expertMap`. */
 const rankControl = z.object({ type: z.literal('rankControl'), group: id, body: z.unknown() });
 
@@ -430,6 +438,7 @@
   configuration,
   digest,
   draining,
+  ordersSealed,
   rankControl,
   gatewayCounts,
   knowledgeHint,
--- a/src/request/orders/orderDispatcher.ts
+++ b/src/request/orders/orderDispatcher.ts
@@ -8,6 +8,7 @@
 import type { OrderIdParts } from '../../protocol/orderId.js';
 import { computeLoad, findExclusion } from '../routing/eligibility.js';
 import type { Candidate } from '../routing/types.js';
+import type { SealedOrders } from './sealedOrders.js';
 import type { CallFailure, CallTable } from './callTable.js';
 
 const MAX_SLOT_ATTEMPTS = 3;
@@ -68,6 +69,7 @@
   constructor(
     private readonly calls: CallTable,
     private readonly routes: AgentDirectory,
+    private readonly sealedOrders: SealedOrders,
   ) {}
 
   /** Sends nothing more, and ends the waits for links; messages that were sent keep waiting for their reply. */
@@ -129,6 +131,7 @@
     if (this.isStopped)
       return Err(createError('draining', 'this entry shut down before it sent the order'));
     if (typeof found === 'string') {
+      if (this.sealedOrders.has(order.id, Date.now())) return Ok(createSealed(order.id));
       const unknown = createUnknown(order.id, found, ADVICE_UNREACHABLE);
       return Ok(found === EXECUTOR_REPLACED ? { ...unknown, final: true } : unknown);
     }
@@ -141,6 +144,8 @@
           ? { type: order.type, ...commonFields, body: order.body, remainingMs: order.remainingMs }
           : { type: order.type, ...commonFields };
       const reply = await this.calls.send(found.executor, message, Math.max(1, order.remainingMs));
+      if (typeof reply === 'string' && this.sealedOrders.has(order.id, Date.now()))
+        return Ok(createSealed(order.id));
       return formatReply(order.id, reply);
     } finally {
       if (found.temporary) found.executor.close();
@@ -217,6 +222,10 @@
   return Ok(reason === '' ? { id, state } : { id, state, reason });
 }
 
+function createSealed(id: string): OrderResponse {
+  return { id, state: 'not-run', reason: 'the agent stopped before the order ran' };
+}
+
 function createUnknown(id: string, reason: string, advice: string): OrderResponse {
   return { id, state: 'unknown', reason, advice };
 }
--- a/src/request/orders/orders.spec.ts
+++ b/src/request/orders/orders.spec.ts
@@ -2,6 +2,7 @@
 import type { EntryFixture } from '../../../test/support/entryFixture.js';
 import { startEntryFixture } from '../../../test/support/entryFixture.js';
 import { FakeAgent } from '../../../test/support/fakeAgent.js';
+import { waitMs } from '../../../test/support/waiting.js';
 import type { MessageOf } from '../../protocol/messages.js';
 import { createOrderId, parseOrderId } from '../../protocol/orderId.js';
 
@@ -94,6 +95,34 @@
     expect(unlisted.received).to.deep.equal([]);
   });
 
+  // Such an order was reported as `unknown`, and its caller had to settle it by hand.
+  it('guards against an unknown outcome of an order that its stopped agent has sealed', async () => {
+    fixture = await startEntryFixture([{ upstream: 'ledger-1', service: 'ledger' }]);
+    const [agent] = fixture.agents;
+    const sealed = await issueSlot();
+    const unsealed = await issueSlot();
+    agent!.broadcast({ type: 'ordersSealed', orders: [sealed] });
+    await waitMs(50);
+    agent!.close();
+    for (const method of ['PUT', 'GET', 'DELETE']) {
+      const body = method === 'PUT' ? '{}' : undefined;
+      const response = await fixture.call(method, `${PATH}/${sealed}`, body);
+      expect(await response.json()).to.deep.include({ id: sealed, state: 'not-run' });
+      const other = await fixture.call(method, `${PATH}/${unsealed}`, body);
+      expect(await other.json()).to.deep.include({ id: unsealed, state: 'unknown' });
+    }
+  });
+
+  it('guards against a seal by another agent than the one that issued the order', async () => {
+    fixture = await startEntryFixture([{ upstream: 'ledger-1', service: 'ledger' }]);
+    const [agent] = fixture.agents;
+    const id = createIdAt(agent!.address, 'earlier');
+    agent!.broadcast({ type: 'ordersSealed', orders: [id] });
+    await waitMs(50);
+    const response = await fixture.call('GET', `${PATH}/${id}`);
+    expect(await response.json()).to.deep.include({ id, state: 'unknown' });
+  });
+
   it('guards against giving an order to a later incarnation of its executor', async () => {
     fixture = await startEntryFixture([{ upstream: 'ledger-1', service: 'ledger' }]);
     const [agent] = fixture.agents;
