fix: don't take the refusal of another request for that of this one

Cause: a head that states that nothing ran was believed before its request id was compared. A faulty upstream that answers with the refusal of another request may run this one, which was then sent to a second upstream, and its caller was promised that it had not run.

Evidence: a payment answered with 503, 421 or 429, `Not-Executed` and another id got 503 (3 failing).

Change: a refusal counts if it repeats the id or has none; with another id the attempt is broken, as for all other heads.

--- a/src/request/forwarding/runAttempt.ts
+++ b/src/request/forwarding/runAttempt.ts
@@ -141,10 +141,12 @@
 
   acceptHead(head: ResponseHead): AttemptOutcome | undefined {
     this.head = head;
-    if (head.isNotExecuted) return { kind: 'not_run', head, reason: describeRefusal(head) };
-    if (head.requestId !== this.options.requestId) {
-      return this.createBroken('response has the id of another request');
+    const isOwn = head.requestId === this.options.requestId;
+    // Upstreams need not repeat the id of a request that they refuse.
+    if (head.isNotExecuted && (isOwn || head.requestId === undefined)) {
+      return { kind: 'not_run', head, reason: describeRefusal(head) };
     }
+    if (!isOwn) return this.createBroken('response has the id of another request');
     const isSuccess = head.status >= OK_STATUS && head.status < 300;
     if (head.isEncoded) return this.createBroken('response has a content encoding');
     if (isSuccess && !head.isSigned)
--- a/test/failures/callerResponses.spec.ts
+++ b/test/failures/callerResponses.spec.ts
@@ -117,6 +117,28 @@
     });
   }
 
+  // The request itself may run, so a second upstream could run it again.
+  for (const status of ['503 Full', '421 Misdirected', '429 Too Many Requests']) {
+    it(`guards against the refusal of another request that counts as that of this one; ${status}`, async () => {
+      await start((socket) => {
+        socket.end(formatHead('r-other', ['Not-Executed: 1', 'Content-Length: 0'], status));
+      });
+      const { received } = await call('/pay/a', 'question');
+      expect(received).to.match(/^HTTP\/1.1 502 /);
+      expect(workers.flatMap(({ requests }) => requests)).to.have.length(1);
+    });
+  }
+
+  // Upstreams need not repeat the id of a request that they refuse.
+  it('guards against a refusal without an id that counts as a broken response', async () => {
+    await start((socket, { requestId }, turn) => {
+      if (turn === 0) {
+        socket.end('HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
+      } else socket.end(`${formatHead(requestId, ['Content-Length: 5'])}whole`);
+    });
+    expect((await call('/pay/a', 'question')).received).to.match(/^HTTP\/1.1 200 [^]*whole$/);
+  });
+
   // A complete response of another kind cannot continue a stream, and the caller must not wait for its rest.
   for (const status of ['404 Not Found', '200 OK', '500 Error']) {
     it(`guards against a stream that never ends because its resumption has no events; ${status}`, async () => {
