fix: read a published value again that was cut on its way

Cause: the platform client took the end of the connection for the end of a value without a length. A reader refuses such a value as malformed and marks its revision as read, so the change, for example a withdrawn token, was lost until the next change of the key.

Change: an answer without a length that is not a JSON document is a failed read.

--- a/src/process/membership/platformClient.ts
+++ b/src/process/membership/platformClient.ts
@@ -2,6 +2,7 @@
 import { Err, Ok } from 'ts-results-es';
 import { Agent, request } from 'undici';
 import { z } from 'zod';
+import { isFramed } from '../../connection/responseFraming.js';
 import { MAX_VALUE_BYTES } from '../../version/configuration/checkObject.js';
 import type { ListedHost } from './types.js';
 
@@ -149,7 +150,11 @@
           return this.fail('too_large', `response exceeds ${maxBytes} bytes: ${path}`);
         parts.push(part as Buffer);
       }
-      return Ok(Buffer.concat(parts).toString('utf8'));
+      const text = Buffer.concat(parts).toString('utf8');
+      // A value that was read and refused is not read again, so one that may be cut has not been read.
+      if (!isFramed(response.headers) && !isJson(text))
+        return this.fail('unreachable', `response without a length ended early: ${path}`);
+      return Ok(text);
     } catch (error) {
       return this.fail('unreachable', String(error));
     } finally {
@@ -164,6 +169,16 @@
   }
 }
 
+/** Whether a text is a complete JSON document. */
+function isJson(text: string): boolean {
+  try {
+    JSON.parse(text);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 function parseJson<Value>(
   text: Result<string, PlatformError>,
   schema: z.ZodType<Value>,
--- a/src/process/membership/platformReader.spec.ts
+++ b/src/process/membership/platformReader.spec.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
+import { listenOnLoopback } from '../../../test/standins/httpServer.js';
 import { startPlatform } from '../../../test/standins/platform.js';
 import { ConfigurationStore } from '../../version/configuration/configurationStore.js';
 import { formatTicketKey } from '../../version/ticket/ticketSchema.js';
@@ -50,6 +51,31 @@
     await platform.close();
   });
 
+  // A refused value is not read again before its next change, such as a withdrawn token.
+  it('guards against the loss of a change whose value was cut on its way', async () => {
+    const value = JSON.stringify(createTicket(1, 'a'));
+    let reads = 0;
+    const server = createServer((request, response) => {
+      if (request.url?.startsWith('/v1/list') === true) {
+        const key = { key: formatTicketKey(1), revision: 1 };
+        response.end(JSON.stringify({ revision: 1, keys: [key] }));
+        return;
+      }
+      reads += 1;
+      const body = reads === 1 ? value.slice(0, value.length / 2) : value;
+      response.socket?.end(`HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${body}`);
+    });
+    const client = new PlatformClient(`http://127.0.0.1:${await listenOnLoopback(server, 0)}`, 500);
+    const store = new ConfigurationStore();
+    const reader = new PlatformReader(client, store);
+    await reader.readAllKeys();
+    await reader.readAllKeys();
+    client.close();
+    server.closeAllConnections();
+    server.close();
+    expect(store.listObjects().map(({ ticket }) => ticket)).to.deep.equal([1]);
+  });
+
   it('guards against a watch or a read that hangs forever', async () => {
     const server = createServer(() => undefined);
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
--- a/test/failures/cutReplies.spec.ts
+++ b/test/failures/cutReplies.spec.ts
@@ -272,6 +272,11 @@
     async (client) => toVerdict(await client.listKeys('p', 0)),
     { revision: 1, keys: [] },
   ),
+  'platform client, value': createCase(
+    openPlatform,
+    async (client) => toVerdict(await client.readValue('services/desk')),
+    { key: 'services/desk', ticket: 1, state: null },
+  ),
   'platform client, hosts': createCase(
     openPlatform,
     async (client) => toVerdict(await client.listHosts()),
