fix: a connection for each call of the platform client

Cause: the platform client keeps connections. An answer that is written once more where the next one is due counted as the value of another key, or as another list.

Evidence: of three values read one after the other, the third was that of the first key.

Change: each call has a connection of its own, as at the other clients.

Before and after: "guards against an earlier value of the platform that counts as that of a later key" failed in `repeatedResponses.spec.ts`, now passes, with the specs of `src/process/membership`.

--- a/src/process/membership/platformClient.ts
+++ b/src/process/membership/platformClient.ts
@@ -135,6 +135,8 @@
     limits.signal?.addEventListener('abort', abort);
     try {
       const response = await request(`${this.baseUrl}${path}`, {
+        // A repeated or late answer on a kept connection would count as the answer to the next call.
+        reset: true,
         signal: controller.signal,
         dispatcher: this.dispatcher,
       });
--- a/test/failures/repeatedResponses.spec.ts
+++ b/test/failures/repeatedResponses.spec.ts
@@ -5,6 +5,7 @@
 import { createEngineAdapter } from '../../src/process/agent/upstreams/engine.js';
 import type { ExchangeResult } from '../../src/process/agent/upstreams/types.js';
 import { EngineClient } from '../../src/process/group/engineClient.js';
+import { PlatformClient } from '../../src/process/membership/platformClient.js';
 import type { RepeatingServer } from '../standins/repeatingServer.js';
 import { formatResponse, startRepeatingServer } from '../standins/repeatingServer.js';
 import { waitUntil } from '../support/waiting.js';
@@ -47,6 +48,21 @@
     client.close();
   });
 
+  // A change of the configuration whose key is read with the value of another one is lost until its next change.
+  it('guards against an earlier value of the platform that counts as that of a later key', async () => {
+    server = await startRepeatingServer(({ path }) => formatResponse(200, { path }));
+    const client = new PlatformClient(server.url, 1_000);
+    const values: string[] = [];
+    for (const key of ['tickets/1', 'tickets/2', 'tickets/3']) {
+      values.push((await client.readValue(key)).unwrapOr('none'));
+    }
+    client.close();
+    const expected = ['tickets/1', 'tickets/2', 'tickets/3'].map((key) =>
+      JSON.stringify({ path: `/v1/values/${key}` }),
+    );
+    expect(values).to.deep.equal(expected);
+  });
+
   // An order that counts as refused on the word of another one is not undone.
   it('guards against an earlier refusal without an id that counts as that of a later order to the engine', async () => {
     const refusal = formatResponse(409, {});
