fix: a cluster that fails to start leaves no processes behind

Cause: Cluster.start took the agents (and entries) from one Promise.all. When one of them failed, none of the others was known to stop(): their agents and engines ran on beside all later tests until mocha ended. Evidence: proofs and rateLimits.spec.ts on one core, with the proofs' starts failing: 13 child processes still alive after the last test, 70 s later. Change: all starts are awaited, those that succeeded are recorded, then the first failure is thrown; the engine of an agent that failed is killed. Before: cluster.spec.ts "AssertionError: expected 5 to equal +0". After: passes.

--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -75,18 +75,12 @@
     ]);
     await this.publishHosts(new Set());
     await this.publishTicket(buildInitialTicket(deployment));
-    this.agents.push(
-      ...(await Promise.all(deployment.agents.map((plan) => this.startAgent(plan)))),
-    );
-    this.entries.push(
-      ...(await Promise.all(
-        deployment.entries.map(async (plan) => ({
-          plan,
-          httpUrl: `http://${LOOPBACK}:${plan.httpPort}`,
-          process: await this.startDaemon('entry', plan.id),
-        })),
-      )),
-    );
+    await startEach(deployment.agents, this.agents, (plan) => this.startAgent(plan));
+    await startEach(deployment.entries, this.entries, async (plan) => ({
+      plan,
+      httpUrl: `http://${LOOPBACK}:${plan.httpPort}`,
+      process: await this.startDaemon('entry', plan.id),
+    }));
     await Promise.all(this.entries.map((entry) => this.waitForEntry(entry)));
   }
 
@@ -177,7 +171,13 @@
           ])
         : await startProcess(`service of ${plan.id}`, 'test/standins/plainService.ts', port);
     const upstreamUrl = `http://${LOOPBACK}:${plan.upstreamPort}`;
-    return { plan, upstreamUrl, upstream, process: await this.startDaemon('agent', plan.id) };
+    try {
+      return { plan, upstreamUrl, upstream, process: await this.startDaemon('agent', plan.id) };
+    } catch (error) {
+      upstream.send('SIGKILL');
+      await upstream.exited;
+      throw error;
+    }
   }
 
   private async waitForEntry(entry: ClusterEntry): Promise<void> {
@@ -190,6 +190,17 @@
   }
 }
 
+/** Starts all at once and waits for every one, so that none that starts beside a failed one is left running. */
+async function startEach<Plan, Started>(
+  plans: readonly Plan[],
+  started: Started[],
+  start: (plan: Plan) => Promise<Started>,
+): Promise<void> {
+  const results = await Promise.allSettled(plans.map(start));
+  for (const result of results) if (result.status === 'fulfilled') started.push(result.value);
+  for (const result of results) if (result.status === 'rejected') throw result.reason;
+}
+
 /**
  * Starts a cluster; if one process fails to start, stops those already running.
  *
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -33,6 +33,15 @@
   for (const pid of processGroups) sendGroupSignal(pid, 'SIGKILL');
 }
 
+/**
+ * Counts the started processes that still run.
+ *
+ * @returns Number of process groups
+ */
+export function countProcesses(): number {
+  return processGroups.size;
+}
+
 process.once('exit', stopAllProcesses);
 for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
   process.once(signal, () => {
