test: compile the programs that tests start once instead of in each process

Steps of one process, logged with preloaded modules over 40 starts: node 0.11 s of processor time, tsx 0.34 s, loading the modules through its hooks 1.2 s, from there to the ready line next to nothing. A cluster starts its agents together, the three proofs their 13 agents, so 20 to 25 s of processor time had to fit into the 20 s of the ready line. Evidence: all three proofs on one core (taskset, load average 14 to 28): "relief-assistant-1: Error: no ready line within 20000 ms" and the same for other agents, 3 of 3 failed, in each of two runs; modules took 6.2 s (tsx) and more to load. On 8 cores beside four busy processes (load average 20) the slowest of 40 starts took 5.7 s; a cold cache of tsx made no difference. Change: startProcess compiles src, platform, test/standins and test/support once with esbuild, which is declared already (0.2 to 0.3 s), and starts the compiled module: 0.53 s of processor time to the first statement instead of 1.7 s. Checks and time-outs are unchanged. Bundles were tried first and dropped: they evaluate roarr before enableRoarr.js, so that the processes logged nothing and the proof of shutdowns failed for its log line.

--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -2,6 +2,7 @@
 import { spawn } from 'node:child_process';
 import { dirname, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { buildProgram } from './compiledPrograms.js';
 
 const READY_TIMEOUT_MS = 20_000;
 const MAX_STDERR_CHARACTERS = 8_000;
@@ -62,7 +63,7 @@
  * Starts a TypeScript or JavaScript program of this package and waits for its ready line.
  *
  * @param name - Name of the process in error messages
- * @param script - Path relative to the package root; `.ts` files are run by tsx
+ * @param script - Path relative to the package root; `.ts` files are compiled first
  * @param args - Program arguments
  * @returns The running process
  * @throws Error with the standard error output when the process exits or times out before its ready line
@@ -72,8 +73,8 @@
   script: string,
   args: readonly string[],
 ): Promise<RunningProcess> {
-  const loader = script.endsWith('.ts') ? ['--import', 'tsx'] : [];
-  const child = spawn(process.execPath, [...loader, script, ...args], {
+  const program = script.endsWith('.ts') ? await buildProgram(rootDirectory, script) : script;
+  const child = spawn(process.execPath, [program, ...args], {
     cwd: rootDirectory,
     detached: true,
     stdio: ['ignore', 'pipe', 'pipe'],
