fix: a stopping gateway accepts all waiting connections before it closes its listener

What callers saw: a request on a connection opened right before the listener closes ended without a response, and had not run.

Cause: Node accepts one connection in each turn of its event loop (libuv from 1.45), and the kernel resets those that wait in the queue of a listener that is closed. The drain waited for one turn. On a busy host dozens wait.

The test blocks the event loop for 400 ms before the listener closes.

--- a/src/process/gateway/callerConnections.ts
+++ b/src/process/gateway/callerConnections.ts
@@ -21,6 +21,7 @@
 /** Tracks the connections of callers and the responses that are not yet handed to the operating system. */
 export class CallerConnections {
   private readonly connections = new Map<Socket, CallerConnection<CallerExchange>>();
+  private accepted = 0;
 
   /**
    * @param server - Server that accepts the connections
@@ -31,6 +32,7 @@
     private readonly readClock: () => number,
   ) {
     server.on('connection', (socket: Socket) => {
+      this.accepted += 1;
       this.connections.set(socket, new CallerConnection(socket, this.readClock()));
       socket.once('close', () => this.connections.delete(socket));
     });
@@ -39,6 +41,11 @@
     });
   }
 
+  /** Number of connections that were accepted so far. */
+  get acceptedCount(): number {
+    return this.accepted;
+  }
+
   /** Number of open connections. */
   get size(): number {
     return this.connections.size;
--- a/src/process/gateway/drainCallers.ts
+++ b/src/process/gateway/drainCallers.ts
@@ -1,4 +1,5 @@
-import { setImmediate as waitForTurn, setTimeout as sleep } from 'node:timers/promises';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { acceptPending, pollSocketsOnce } from '../../connection/acceptPending.js';
 import type { Logger } from '../logging.js';
 import type { Metrics } from '../metrics.js';
 import type { CallerConnections } from './callerConnections.js';
@@ -29,8 +30,7 @@
 export async function drainCallers(options: DrainOptions): Promise<number> {
   const { callers, stop, metrics } = options;
   await sleep(stop.computeListeningMs(options.readClock()));
-  // Connections in the kernel's queue would be reset by the close of the listener.
-  await pollSocketsOnce();
+  await acceptPending(() => callers.acceptedCount);
   callers.closeListener();
   do {
     // When the process was busy, timers run before sockets are read.
@@ -47,12 +47,6 @@
   return unfinished;
 }
 
-/** Waits for one complete poll phase of the event loop, which lies between two check phases. */
-async function pollSocketsOnce(): Promise<void> {
-  await waitForTurn();
-  await waitForTurn();
-}
-
 function logUnfinished({ callers, stop, logger, metrics, readClock }: DrainOptions): void {
   const now = readClock();
   for (const { requestId, arrivedAt, phase } of callers.listUnfinished()) {
--- a/test/failures/reviewedStops.spec.ts
+++ b/test/failures/reviewedStops.spec.ts
@@ -19,6 +19,7 @@
 const CALLER_TIMEOUT_MS = 8_000;
 const ROUTE_TIMEOUT_MS = 20_000;
 const EVENT_INTERVAL_MS = 100;
+const QUEUED_CALLERS = 40;
 /** Fits into the buffers of the kernel, more than its caller has received while it does not read. */
 const MEDIUM_BODY_BYTES = 3_000_000;
 
@@ -250,6 +251,33 @@
   });
 });
 
+describe('stopping gateway with connections that it has not accepted', function () {
+  this.timeout(20_000);
+
+  // Node accepts one connection in each turn of its event loop; those in the queue of a closed listener are reset.
+  it('guards against the reset of connections that wait to be accepted as the listener closes', async () => {
+    const worker = await startRawWorker('i-0', (socket, request) => void respond(socket, request));
+    const fixture = await startGatewayFixture({ workers: 0, ownWorkers: [worker] });
+    const stopped = fixture.gateways[0]?.drain();
+    await waitMs(2_300);
+    const callers = Array.from({ length: QUEUED_CALLERS }, (_, index) => {
+      const caller = new RawCaller(fixture.urls[0] ?? '');
+      caller.send(formatTimed('/lookup/50', `r-${index}`, undefined, 1_500));
+      return caller;
+    });
+    const busyUntil = performance.now() + 400;
+    while (performance.now() < busyUntil);
+    const exchanges = await Promise.all(
+      callers.map((caller) => caller.waitForEnd(CALLER_TIMEOUT_MS)),
+    );
+    await stopped;
+    await fixture.close();
+    await worker.close();
+    const answered = exchanges.filter((exchange) => listResponses(exchange)[0]?.end === 'complete');
+    expect(answered).to.have.length(QUEUED_CALLERS);
+  });
+});
+
 type Responder = (socket: Socket, request: RawRequest) => Promise<void>;
 
 /** Formats a request with another deadline. */
