--- a/src/request/http/errors.spec.ts
+++ b/src/request/http/errors.spec.ts
@@ -225,4 +225,17 @@
     await drained;
     first.destroy();
   });
+
+  // Node accepts one connection in each turn of its event loop.
+  it('guards against resetting all but one of the connections that wait for acceptance', async () => {
+    fixture = await startEntryFixture([]);
+    const sockets = Array.from({ length: 20 }, () => connect(fixture.entry.httpPort, '127.0.0.1'));
+    const received = sockets.map((socket) => readConnection(socket));
+    for (const socket of sockets) socket.write(GET_MODELS);
+    blockEventLoop(100);
+    const drained = fixture.entry.drain();
+    const answers = await Promise.all(received);
+    expect(answers.filter((answer) => answer.includes('draining'))).to.have.length(20);
+    await drained;
+  });
 });
--- a/src/request/http/httpServer.ts
+++ b/src/request/http/httpServer.ts
@@ -4,8 +4,9 @@
 import { createServer } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { Server as NetServer } from 'node:net';
-import { setImmediate as waitForCheckPhase, setTimeout as sleep } from 'node:timers/promises';
+import { setTimeout as sleep } from 'node:timers/promises';
 import polka from 'polka';
+import { acceptPending, pollSocketsOnce } from '../../connection/acceptPending.js';
 import { createError } from '../../errors.js';
 import type { RequestError } from '../../errors.js';
 import { defaults } from '../../defaults.js';
@@ -60,6 +61,8 @@
   private count = 0;
   private active = 0;
   private connections = 0;
+  /** Connections accepted since the start. */
+  private acceptedConnections = 0;
   /** Connections and requests accepted since the start. */
   private arrivals = 0;
   private readonly pauses = new PauseDetector(Date.now());
@@ -80,6 +83,7 @@
     this.server.on('connection', (socket) => {
       this.arrivals += 1;
       this.connections += 1;
+      this.acceptedConnections += 1;
       socket.once('close', () => {
         this.connections -= 1;
       });
@@ -114,8 +118,7 @@
 
   /** Stops accepting connections; established ones stay open, so that their requests are answered. */
   async stopAccepting(): Promise<void> {
-    // Closing the listener resets connections in the kernel's accept queue, so they are accepted first.
-    await pollSocketsOnce();
+    await acceptPending(() => this.acceptedConnections);
     this.closeListener();
   }
 
@@ -245,12 +248,6 @@
   }
 }
 
-/** Waits for one complete poll phase of the event loop, which lies between two check phases. */
-async function pollSocketsOnce(): Promise<void> {
-  await waitForCheckPhase();
-  await waitForCheckPhase();
-}
-
 function rejectMalformed(error: Error & { code?: string }, socket: Socket): void {
   if (!socket.writable) {
     socket.destroy();
