fix: start the clock of the group in rankerStops.spec.ts with its passes

Cause: the stand-in begins its passes at time 0, and the spec gave it the clock of the process. It ran the passes since the start of the process at once, so the coordinator took passes for very short and held one that was hundreds of passes ahead.

Evidence: after two minutes of other specs in one process, 2 of 3 tests failed: `both ranks switch: not reached within 10000 ms`. Alone, a pass 29 ahead was held and the tests took 1.8 to 4.6 s.

Change: the clock of the group starts at 0.

--- a/src/process/ranker/rankerStops.spec.ts
+++ b/src/process/ranker/rankerStops.spec.ts
@@ -44,17 +44,18 @@
 }
 
 async function startFixture(): Promise<Fixture> {
+  const startedAt = performance.now();
+  // The group begins its passes at time 0 of its clock.
   const group = new LockstepGroup(
     hosts.length,
     () => 0.5,
     noFaults,
-    () => performance.now(),
+    () => performance.now() - startedAt,
   );
   const timer = setInterval(() => {
     group.run();
   }, TICK_MS);
   const [port = 0] = await reservePorts(1);
-  const startedAt = performance.now();
   const fixture = {
     group,
     rankers: [] as RankerDaemon[],
