fix: a link drops messages that a pause has made old after they were read

Cause: PeerLink.receive compared the clock with the heartbeat time-out once, before it decoded what it had read. After a pause between this check and a handler, or in the handler of an earlier message of the same read, messages counted as fresh. The agent counts the remaining time of a request from there, so guardExpiry.ts right before the first write sees time left. Evidence (scratch copy; an agent that stops itself with SIGSTOP for 5 s at one point, two requests with 2 s in one write): - stopped after the check, before the messages are dispatched: the engine was given both, 5,048 and 5,049 ms after they were sent. Change: the time-out is checked before each message is dispatched. Before: "expected [ 'first', 'second' ] to deeply equal [ 'first' ]". After: passes; the agent above gave its engine none.

--- a/src/connection/peerLink.spec.ts
+++ b/src/connection/peerLink.spec.ts
@@ -86,6 +86,48 @@
     expect(handled).to.equal(1);
   });
 
+  // The handler counts the remaining time of a request from now, so one that a pause has made old would run after its end.
+  it('guards against handling messages that were read before a pause of the process and are dispatched after it', async () => {
+    const handled: string[] = [];
+    const server = new LinkServer({
+      host: '127.0.0.1',
+      port: 0,
+      self: () => createHello('server'),
+      onLink: () => undefined,
+      handlers: {
+        cancel: ({ attempt }) => {
+          handled.push(attempt);
+          // Stands for a pause between two messages of one read.
+          const end = Date.now() + 300;
+          while (attempt === 'first' && Date.now() < end);
+        },
+      },
+      heartbeatTimeoutMs: 200,
+      heartbeatIntervalMs: 60_000,
+    });
+    const { port } = await server.listen();
+    const opened = await openLink({
+      address: `127.0.0.1:${port}`,
+      self: () => createHello('client'),
+      handlers: {},
+      heartbeatIntervalMs: 60_000,
+    });
+    const link = opened.unwrap();
+    const closed = new Promise((resolve) => {
+      link.onClose(resolve);
+    });
+    // Messages of one event loop turn are sent in one write, and read in one.
+    for (const attempt of ['first', 'second']) link.send({ type: 'cancel', attempt });
+    const isClosed = await Promise.race([
+      closed.then(() => true),
+      new Promise((resolve) => setTimeout(resolve, 2_000, false)),
+    ]);
+    link.destroy('closed');
+    server.close();
+    expect(handled).to.deep.equal(['first']);
+    expect(isClosed).to.equal(true);
+  });
+
   it('guards against accepting a peer of another protocol version', async () => {
     const server = new LinkServer({
       host: '127.0.0.1',
--- a/src/connection/peerLink.ts
+++ b/src/connection/peerLink.ts
@@ -163,7 +163,14 @@
       this.destroy('protocol_error');
       return;
     }
-    this.dispatchAll(read.value);
+    for (const message of read.value) {
+      // A pause while the bytes were decoded, or while an earlier message was handled, makes the rest as old as one before.
+      if (this.isTimedOut(Date.now())) {
+        this.destroy('heartbeat_timeout');
+        return;
+      }
+      this.dispatch(message);
+    }
   }
 
   private dispatch(message: Message): void {
