--- a/test/failures/lateRequests.spec.ts
+++ b/test/failures/lateRequests.spec.ts
@@ -1,22 +1,22 @@
 import { expect } from 'chai';
-import type { Socket } from 'node:net';
-import type { RawRequest, RawWorker } from '../standins/rawWorker.js';
-import { formatChunk, formatHead, startRawWorker } from '../standins/rawWorker.js';
-import { formatEvent } from '../standins/platformWorker.js';
+import type { RawWorker } from '../standins/rawWorker.js';
+import { startRawWorker } from '../standins/rawWorker.js';
 import type { GatewayFixture } from '../support/gatewayFixture.js';
 import { startGatewayFixture } from '../support/gatewayFixture.js';
 import type { GatewayProgram } from '../support/gatewayProgram.js';
 import { startGatewayProgram, waitUntilProgramReady } from '../support/gatewayProgram.js';
-import type { RawExchange } from '../support/rawCaller.js';
-import { formatRequest, RawCaller } from '../support/rawCaller.js';
-import type { ParsedResponse } from '../support/responseParser.js';
-import { parseResponses } from '../support/responseParser.js';
+import { RawCaller } from '../support/rawCaller.js';
+import {
+  createStopRoutes,
+  formatTimedRequest,
+  listResponses,
+  respondByPath,
+} from '../support/stopFixture.js';
 import { waitMs, waitUntil } from '../support/waiting.js';
 
 const STOP_LIMIT_MS = 6_000;
 const CALLER_TIMEOUT_MS = 8_000;
 const ROUTE_TIMEOUT_MS = 20_000;
-const EVENT_INTERVAL_MS = 100;
 /** Larger than the send and receive buffers of the kernel. */
 const LARGE_BODY_BYTES = 24_000_000;
 
@@ -30,10 +30,10 @@
   let program: GatewayProgram;
 
   beforeEach(async () => {
-    worker = await startRawWorker('i-a', (socket, request) => void respond(socket, request));
+    worker = await startRawWorker('i-a', (socket, request) => void respondByPath(socket, request));
     fixture = await startGatewayFixture({ workers: 0, ownWorkers: [worker], started: 0 });
     fixture.publishWorker(worker, { slots: 32 });
-    fixture.publishConfiguration(2, { routes: createRoutes() });
+    fixture.publishConfiguration(2, { routes: createStopRoutes(ROUTE_TIMEOUT_MS) });
     program = await startGatewayProgram({
       storePort: fixture.store.port,
       stopLimitMs: STOP_LIMIT_MS,
@@ -51,7 +51,7 @@
   /** Starts a stream whose head comes before SIGTERM, so that it cannot announce the close of its connection. */
   const startEarlyStream = async (id: string, path = '/chat/3300'): Promise<RawCaller> => {
     const caller = new RawCaller(program.url);
-    caller.send(formatTimed(path, id, 'question', LONG_DEADLINE_MS));
+    caller.send(formatTimedRequest(path, id, 'question', LONG_DEADLINE_MS));
     await waitUntil('stream begun', () => caller.received.includes('id: 1'));
     return caller;
   };
@@ -68,7 +68,7 @@
       await waitForStreamEnd(caller);
       const path = paths[index] ?? '';
       const body = path.startsWith('/lookup/') ? undefined : 'question';
-      caller.send(formatTimed(path, `late-${index}`, body, LONG_DEADLINE_MS));
+      caller.send(formatTimedRequest(path, `late-${index}`, body, LONG_DEADLINE_MS));
       const sentAt = performance.now();
       const exchange = await caller.waitForEnd(CALLER_TIMEOUT_MS);
       const { status, requestId, end } = listResponses(exchange)[1] ?? {};
@@ -92,7 +92,7 @@
     const caller = await startEarlyStream('r-0');
     program.child.kill('SIGTERM');
     await waitForStreamEnd(caller);
-    caller.send(formatTimed('/pay/600', 'r-1', 'question', 1_500));
+    caller.send(formatTimedRequest('/pay/600', 'r-1', 'question', 1_500));
     const { received } = await caller.waitForEnd(CALLER_TIMEOUT_MS);
     expect(listResponses({ received })[1]).to.include({ status: 200, body: 'done' });
   });
@@ -103,7 +103,7 @@
     program.child.kill('SIGTERM');
     await waitForStreamEnd(caller);
     await waitMs(150);
-    caller.send(formatTimed('/pay/9000', 'r-1', 'question', LONG_DEADLINE_MS));
+    caller.send(formatTimedRequest('/pay/9000', 'r-1', 'question', LONG_DEADLINE_MS));
     const { received, end } = await caller.waitForEnd(CALLER_TIMEOUT_MS);
     expect(listResponses({ received })[1]).to.include({ status: 503, end: 'complete' });
     expect(end).to.equal('closed');
@@ -115,7 +115,9 @@
     program.child.kill('SIGTERM');
     await waitUntil('not ready', () => program.log.some((line) => line.includes('draining')));
     const caller = new RawCaller(program.url);
-    caller.send(formatTimed('/lookup/300', 'r-1') + formatTimed('/pay/100', 'r-2', 'question'));
+    caller.send(
+      formatTimedRequest('/lookup/300', 'r-1') + formatTimedRequest('/pay/100', 'r-2', 'question'),
+    );
     const { received } = await caller.waitForEnd(CALLER_TIMEOUT_MS);
     const answered = listResponses({ received }).map(({ requestId, end }) => `${requestId} ${end}`);
     expect(answered).to.deep.equal(['r-1 complete', 'r-2 complete']);
@@ -126,9 +128,9 @@
     program.child.kill('SIGTERM');
     await waitUntil('not ready', () => program.log.some((line) => line.includes('draining')));
     const caller = new RawCaller(program.url);
-    caller.send(formatTimed('/chat/600', 'r-1', 'question'));
+    caller.send(formatTimedRequest('/chat/600', 'r-1', 'question'));
     await waitUntil('stream begun', () => caller.received.includes('id: 1'));
-    caller.send(formatTimed('/pay/100', 'r-2', 'question'));
+    caller.send(formatTimedRequest('/pay/100', 'r-2', 'question'));
     const { received } = await caller.waitForEnd(CALLER_TIMEOUT_MS);
     expect(listResponses({ received })[0]).to.include({ requestId: 'r-1', end: 'complete' });
     expect(hasRun('r-2')).to.equal(false);
@@ -139,11 +141,11 @@
     program.child.kill('SIGTERM');
     await waitUntil('not ready', () => program.log.some((line) => line.includes('draining')));
     const caller = new RawCaller(program.url);
-    caller.send(formatTimed('/large/0', 'r-1'));
+    caller.send(formatTimedRequest(`/large/${LARGE_BODY_BYTES}`, 'r-1'));
     await waitUntil('head received', () => caller.received.includes('\r\n\r\n'));
     caller.pause();
     await waitMs(300);
-    caller.send(formatTimed('/lookup/100', 'r-2'));
+    caller.send(formatTimedRequest('/lookup/100', 'r-2'));
     caller.resume();
     const { received } = await caller.waitForEnd(CALLER_TIMEOUT_MS);
     const response = listResponses({ received })[0];
@@ -154,13 +156,13 @@
   it('guards against connections that are cut at the limit without an answer', async () => {
     const send = (path: string, id: string): RawCaller => {
       const caller = new RawCaller(program.url);
-      caller.send(formatTimed(path, id, 'question', LONG_DEADLINE_MS));
+      caller.send(formatTimedRequest(path, id, 'question', LONG_DEADLINE_MS));
       return caller;
     };
     const sent = send('/pay/19000', 'sent');
     const stream = send('/chat/19000', 'stream');
     const reading = new RawCaller(program.url);
-    const whole = formatTimed('/pay/100', 'reading', 'question', LONG_DEADLINE_MS);
+    const whole = formatTimedRequest('/pay/100', 'reading', 'question', LONG_DEADLINE_MS);
     reading.send(whole.slice(0, -3));
     await waitUntil('requests received', () => hasRun('sent') && hasRun('stream'));
     const stoppedAt = performance.now();
@@ -181,7 +183,7 @@
   it('guards against requests that are passed on after a signal that came during a pause', async () => {
     const quick = new RawCaller(program.url);
     for (let count = 1; count <= 40; count += 1) {
-      quick.send(formatTimed('/lookup/1', `quick-${count}`));
+      quick.send(formatTimedRequest('/lookup/1', `quick-${count}`));
       await waitUntil('answered', () => listResponses(quick).length === count);
     }
     const caller = await startEarlyStream('r-0', '/chat/1500');
@@ -190,62 +192,9 @@
     await waitMs(3_000);
     program.child.kill('SIGCONT');
     await waitForStreamEnd(caller);
-    caller.send(formatTimed('/pay/9000', 'r-1', 'question', 4_000));
+    caller.send(formatTimedRequest('/pay/9000', 'r-1', 'question', 4_000));
     const { received } = await caller.waitForEnd(CALLER_TIMEOUT_MS);
     expect(listResponses({ received })[1]).to.include({ status: 503, end: 'complete' });
     expect(hasRun('r-1')).to.equal(false);
   });
 });
-
-/** Formats a request with another deadline. */
-function formatTimed(path: string, requestId: string, body?: string, deadlineMs = 2_000): string {
-  const text = formatRequest(path, requestId, body);
-  return text.replace(/Deadline-Ms: \d+/, `Deadline-Ms: ${deadlineMs}`);
-}
-
-function listResponses({ received }: Pick<RawExchange, 'received'>): ParsedResponse[] {
-  return parseResponses(received, false).responses;
-}
-
-function createRoutes(): object[] {
-  const base = {
-    host: 'app.example',
-    timeoutMs: ROUTE_TIMEOUT_MS,
-    targetLatencyMs: 2_000,
-    targetGapMs: 500,
-    priority: 1,
-    service: 'assistant',
-    public: false,
-    maxAttempts: 2,
-  };
-  return [
-    { ...base, name: 'chat', prefix: '/chat/', routeType: 'streaming', resumable: true },
-    { ...base, name: 'talk', prefix: '/talk/', routeType: 'streaming', resumable: false },
-    { ...base, name: 'lookup', prefix: '/lookup/', routeType: 'idempotent' },
-    { ...base, name: 'large', prefix: '/large/', routeType: 'idempotent' },
-    { ...base, name: 'pay', prefix: '/pay/', routeType: 'non_idempotent' },
-  ];
-}
-
-/** Answers after the milliseconds at the end of the path; streams send events meanwhile. */
-async function respond(socket: Socket, { requestId, path }: RawRequest): Promise<void> {
-  const workMs = Number(path.split('/').at(-1));
-  if (path.startsWith('/large/')) {
-    const head = formatHead(requestId, [`Content-Length: ${LARGE_BODY_BYTES}`]);
-    socket.end(head + 'x'.repeat(LARGE_BODY_BYTES));
-    return;
-  }
-  if (!path.startsWith('/chat/') && !path.startsWith('/talk/')) {
-    await waitMs(workMs);
-    if (!socket.destroyed) socket.end(`${formatHead(requestId, ['Content-Length: 4'])}done`);
-    return;
-  }
-  const headers = ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked'];
-  socket.write(formatHead(requestId, headers));
-  const events = Math.ceil(workMs / EVENT_INTERVAL_MS);
-  for (let id = 1; id <= events && !socket.destroyed; id += 1) {
-    socket.write(formatChunk(formatEvent(id)));
-    await waitMs(EVENT_INTERVAL_MS);
-  }
-  if (!socket.destroyed) socket.end(formatChunk(''));
-}
--- a/test/failures/reviewedStops.spec.ts
+++ b/test/failures/stopDecisions.spec.ts
@@ -1,16 +1,20 @@
 import { expect } from 'chai';
-import type { Socket } from 'node:net';
-import type { RawRequest, RawWorker } from '../standins/rawWorker.js';
+import type { RawWorker } from '../standins/rawWorker.js';
 import { formatChunk, formatHead, startRawWorker } from '../standins/rawWorker.js';
 import { formatEvent } from '../standins/platformWorker.js';
 import type { GatewayFixture } from '../support/gatewayFixture.js';
 import { startGatewayFixture } from '../support/gatewayFixture.js';
 import type { GatewayProgram } from '../support/gatewayProgram.js';
 import { startGatewayProgram, waitUntilProgramReady } from '../support/gatewayProgram.js';
-import type { RawExchange } from '../support/rawCaller.js';
-import { formatRequest, RawCaller } from '../support/rawCaller.js';
-import type { ParsedResponse } from '../support/responseParser.js';
-import { parseResponses } from '../support/responseParser.js';
+import { RawCaller } from '../support/rawCaller.js';
+import type { Responder } from '../support/stopFixture.js';
+import {
+  createStopRoutes,
+  EVENT_INTERVAL_MS,
+  formatTimedRequest,
+  listResponses,
+  respondByPath,
+} from '../support/stopFixture.js';
 import { waitMs, waitUntil } from '../support/waiting.js';
 
 const STOP_LIMIT_MS = 6_000;
@@ -18,7 +22,6 @@
 const SHORT_STOP_LIMIT_MS = 2_000;
 const CALLER_TIMEOUT_MS = 8_000;
 const ROUTE_TIMEOUT_MS = 20_000;
-const EVENT_INTERVAL_MS = 100;
 const QUEUED_CALLERS = 40;
 /** Fits into the buffers of the kernel, more than its caller has received while it does not read. */
 const MEDIUM_BODY_BYTES = 3_000_000;
@@ -26,7 +29,7 @@
 /** The time limit of such a request lies beyond that of the stop. */
 const LONG_DEADLINE_MS = ROUTE_TIMEOUT_MS;
 
-describe('reviewed stops of the gateway program', function () {
+describe('decisions of a stopping gateway', function () {
   this.timeout(40_000);
   let fixture: GatewayFixture;
   let workers: RawWorker[];
@@ -34,7 +37,7 @@
 
   const start = async (
     stopLimitMs: number,
-    responders: readonly Responder[] = [respond],
+    responders: readonly Responder[] = [respondByPath],
   ): Promise<void> => {
     workers = await Promise.all(
       responders.map((responder, index) =>
@@ -43,7 +46,7 @@
     );
     fixture = await startGatewayFixture({ workers: 0, ownWorkers: workers, started: 0 });
     for (const worker of workers) fixture.publishWorker(worker, { slots: 32 });
-    fixture.publishConfiguration(2, { routes: createRoutes() });
+    fixture.publishConfiguration(2, { routes: createStopRoutes(ROUTE_TIMEOUT_MS) });
     program = await startGatewayProgram({ storePort: fixture.store.port, stopLimitMs });
     await waitUntilProgramReady(program);
   };
@@ -58,7 +61,7 @@
       .length;
   const startEarlyStream = async (id: string, path: string): Promise<RawCaller> => {
     const caller = new RawCaller(program.url);
-    caller.send(formatTimed(path, id, 'question', LONG_DEADLINE_MS));
+    caller.send(formatTimedRequest(path, id, 'question', LONG_DEADLINE_MS));
     await waitUntil('stream begun', () => caller.received.includes('id: 1'));
     return caller;
   };
@@ -67,7 +70,7 @@
   it('guards against a stop that outlasts a limit shorter than the time until the listener closes', async () => {
     await start(SHORT_STOP_LIMIT_MS);
     const caller = new RawCaller(program.url);
-    caller.send(formatTimed('/pay/19000', 'r-1', 'question', LONG_DEADLINE_MS));
+    caller.send(formatTimedRequest('/pay/19000', 'r-1', 'question', LONG_DEADLINE_MS));
     await waitUntil('sent', () => countRuns('r-1') === 1);
     program.child.kill('SIGTERM');
     const killTimer = setTimeout(() => program.child.kill('SIGKILL'), SHORT_STOP_LIMIT_MS);
@@ -84,7 +87,7 @@
     const caller = await startEarlyStream('r-0', '/chat/19000');
     program.child.kill('SIGTERM');
     await waitMs(3_000);
-    caller.send(formatTimed('/pay/100', 'r-1', 'question', 1_500));
+    caller.send(formatTimedRequest('/pay/100', 'r-1', 'question', 1_500));
     const exchange = await caller.waitForEnd(CALLER_TIMEOUT_MS);
     expect(listResponses(exchange)[0]).to.include({ requestId: 'r-0', end: 'cut' });
     expect(countRuns('r-1')).to.equal(0);
@@ -94,7 +97,7 @@
   it('guards against a close between two parts of the head of a request', async () => {
     await start(STOP_LIMIT_MS);
     const caller = new RawCaller(program.url);
-    const text = formatTimed('/pay/50', 'r-1', 'question', 1_500);
+    const text = formatTimedRequest('/pay/50', 'r-1', 'question', 1_500);
     program.child.kill('SIGTERM');
     await waitMs(1_500);
     caller.send(text.slice(0, 40));
@@ -117,11 +120,11 @@
     let count = 0;
     const alternate: Responder = (socket, request) => {
       count += 1;
-      return count === 1 ? refuseLate(socket, request) : respond(socket, request);
+      return count === 1 ? refuseLate(socket, request) : respondByPath(socket, request);
     };
     await start(STOP_LIMIT_MS, [alternate, alternate]);
     const caller = new RawCaller(program.url);
-    caller.send(formatTimed('/pay/3000', 'r-1', 'question', LONG_DEADLINE_MS));
+    caller.send(formatTimedRequest('/pay/3000', 'r-1', 'question', LONG_DEADLINE_MS));
     await waitUntil('sent', () => countRuns('r-1') === 1);
     program.child.kill('SIGTERM');
     const exchange = await caller.waitForEnd(CALLER_TIMEOUT_MS);
@@ -135,7 +138,7 @@
     const caller = await startEarlyStream('r-0', '/chat/2600');
     program.child.kill('SIGTERM');
     await waitUntil('stream ended', () => listResponses(caller)[0]?.end === 'complete');
-    const text = formatTimed('/pay/50', 'r-1', 'question', LONG_DEADLINE_MS);
+    const text = formatTimedRequest('/pay/50', 'r-1', 'question', LONG_DEADLINE_MS);
     caller.send(text.slice(0, -3));
     await waitUntil('refused', () => listResponses(caller)[1]?.status === 503, {
       timeoutMs: 1_000,
@@ -147,13 +150,13 @@
     await start(STOP_LIMIT_MS);
     const caller = new RawCaller(program.url);
     for (let index = 0; index < 20; index += 1) {
-      caller.send(formatTimed('/lookup/20', `w-${index}`, undefined, LONG_DEADLINE_MS));
+      caller.send(formatTimedRequest('/lookup/20', `w-${index}`, undefined, LONG_DEADLINE_MS));
       await waitUntil('answered', () => listResponses(caller).length === index + 1);
     }
     const streams = await startEarlyStream('r-0', '/talk/2700');
     program.child.kill('SIGTERM');
     await waitUntil('stream ended', () => listResponses(streams)[0]?.end === 'complete');
-    streams.send(formatTimed('/lookup/20', 'r-1', undefined, LONG_DEADLINE_MS));
+    streams.send(formatTimedRequest('/lookup/20', 'r-1', undefined, LONG_DEADLINE_MS));
     const exchange = await streams.waitForEnd(CALLER_TIMEOUT_MS);
     expect(listResponses(exchange)[1]).to.include({ requestId: 'r-1', status: 200 });
   });
@@ -162,17 +165,17 @@
   it('guards against a payment that is taken by the duration of other routes of its service', async () => {
     await start(STOP_LIMIT_MS);
     const payer = new RawCaller(program.url);
-    payer.send(formatTimed('/pay/4000', 'w-pay', 'question', LONG_DEADLINE_MS));
+    payer.send(formatTimedRequest('/pay/4000', 'w-pay', 'question', LONG_DEADLINE_MS));
     const warmer = new RawCaller(program.url);
     for (let index = 0; index < 24; index += 1) {
-      warmer.send(formatTimed('/lookup/20', `w-${index}`, undefined, LONG_DEADLINE_MS));
+      warmer.send(formatTimedRequest('/lookup/20', `w-${index}`, undefined, LONG_DEADLINE_MS));
       await waitUntil('answered', () => listResponses(warmer).length === index + 1);
     }
     await waitUntil('paid', () => listResponses(payer).length === 1);
     program.child.kill('SIGTERM');
     await waitMs(2_300);
     const caller = new RawCaller(program.url);
-    caller.send(formatTimed('/pay/4000', 'r-1', 'question', LONG_DEADLINE_MS));
+    caller.send(formatTimedRequest('/pay/4000', 'r-1', 'question', LONG_DEADLINE_MS));
     const exchange = await caller.waitForEnd(CALLER_TIMEOUT_MS);
     expect(countRuns('r-1')).to.equal(0);
     expect(listResponses(exchange)[0]).to.include({ status: 503, end: 'complete' });
@@ -182,7 +185,7 @@
   it('guards against a broken stream that is cut although its rest has time to finish', async () => {
     const breakOff: Responder = async (socket, request) => {
       if (request.requestId !== 'r-1') {
-        await respond(socket, request);
+        await respondByPath(socket, request);
         return;
       }
       const headers = ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked'];
@@ -198,7 +201,7 @@
     await start(STOP_LIMIT_MS, [breakOff, breakOff]);
     const warmers = [0, 1, 2].map((index) => {
       const caller = new RawCaller(program.url);
-      caller.send(formatTimed('/talk/3000', `w-${index}`, 'question', LONG_DEADLINE_MS));
+      caller.send(formatTimedRequest('/talk/3000', `w-${index}`, 'question', LONG_DEADLINE_MS));
       return caller;
     });
     await waitUntil('streams ended', () =>
@@ -218,9 +221,9 @@
     program.child.kill('SIGTERM');
     await waitUntil('not ready', () => program.log.some((line) => line.includes('draining')));
     caller.pause();
-    caller.send(formatTimed(`/large/${MEDIUM_BODY_BYTES}`, 'r-1'));
+    caller.send(formatTimedRequest(`/large/${MEDIUM_BODY_BYTES}`, 'r-1'));
     await waitMs(600);
-    caller.send(formatTimed('/pay/50', 'r-2', 'x'.repeat(500_000)));
+    caller.send(formatTimedRequest('/pay/50', 'r-2', 'x'.repeat(500_000)));
     await waitMs(1_500);
     caller.resume();
     const exchange = await caller.waitForEnd(CALLER_TIMEOUT_MS);
@@ -228,19 +231,22 @@
   });
 });
 
-describe('reviewed stops of a busy gateway', function () {
+describe('busy gateway that stops', function () {
   this.timeout(20_000);
 
   // Timers run before sockets are read when the event loop was busy; the request had come before the connection counted
   // as idle at a stop, and is read and discarded.
   it('guards against a close of idle connections before their sockets have been read', async () => {
-    const worker = await startRawWorker('i-0', (socket, request) => void respond(socket, request));
+    const worker = await startRawWorker(
+      'i-0',
+      (socket, request) => void respondByPath(socket, request),
+    );
     const fixture = await startGatewayFixture({ workers: 0, ownWorkers: [worker] });
     const caller = new RawCaller(fixture.urls[0] ?? '');
     await waitMs(100);
     const stopped = fixture.gateways[0]?.drain();
     await waitMs(2_300);
-    caller.send(formatTimed('/lookup/50', 'r-1', undefined, 1_500));
+    caller.send(formatTimedRequest('/lookup/50', 'r-1', undefined, 1_500));
     const busyUntil = performance.now() + 400;
     while (performance.now() < busyUntil);
     const exchange = await caller.waitForEnd(CALLER_TIMEOUT_MS);
@@ -256,13 +262,16 @@
 
   // Node accepts one connection in each turn of its event loop; those in the queue of a closed listener are reset.
   it('guards against the reset of connections that wait to be accepted as the listener closes', async () => {
-    const worker = await startRawWorker('i-0', (socket, request) => void respond(socket, request));
+    const worker = await startRawWorker(
+      'i-0',
+      (socket, request) => void respondByPath(socket, request),
+    );
     const fixture = await startGatewayFixture({ workers: 0, ownWorkers: [worker] });
     const stopped = fixture.gateways[0]?.drain();
     await waitMs(2_300);
     const callers = Array.from({ length: QUEUED_CALLERS }, (_, index) => {
       const caller = new RawCaller(fixture.urls[0] ?? '');
-      caller.send(formatTimed('/lookup/50', `r-${index}`, undefined, 1_500));
+      caller.send(formatTimedRequest('/lookup/50', `r-${index}`, undefined, 1_500));
       return caller;
     });
     const busyUntil = performance.now() + 400;
@@ -277,57 +286,3 @@
     expect(answered).to.have.length(QUEUED_CALLERS);
   });
 });
-
-type Responder = (socket: Socket, request: RawRequest) => Promise<void>;
-
-/** Formats a request with another deadline. */
-function formatTimed(path: string, requestId: string, body?: string, deadlineMs = 2_000): string {
-  const text = formatRequest(path, requestId, body);
-  return text.replace(/Deadline-Ms: \d+/, `Deadline-Ms: ${deadlineMs}`);
-}
-
-function listResponses({ received }: Pick<RawExchange, 'received'>): ParsedResponse[] {
-  return parseResponses(received, false).responses;
-}
-
-function createRoutes(): object[] {
-  const base = {
-    host: 'app.example',
-    timeoutMs: ROUTE_TIMEOUT_MS,
-    targetLatencyMs: 2_000,
-    targetGapMs: 500,
-    priority: 1,
-    service: 'assistant',
-    public: false,
-    maxAttempts: 2,
-  };
-  return [
-    { ...base, name: 'chat', prefix: '/chat/', routeType: 'streaming', resumable: true },
-    { ...base, name: 'talk', prefix: '/talk/', routeType: 'streaming', resumable: false },
-    { ...base, name: 'lookup', prefix: '/lookup/', routeType: 'idempotent' },
-    { ...base, name: 'large', prefix: '/large/', routeType: 'idempotent' },
-    { ...base, name: 'pay', prefix: '/pay/', routeType: 'non_idempotent' },
-  ];
-}
-
-/** Answers after the milliseconds at the end of the path; streams send events meanwhile. */
-async function respond(socket: Socket, { requestId, path }: RawRequest): Promise<void> {
-  const workMs = Number(path.split('/').at(-1));
-  if (path.startsWith('/large/')) {
-    socket.end(formatHead(requestId, [`Content-Length: ${workMs}`]) + 'x'.repeat(workMs));
-    return;
-  }
-  if (!path.startsWith('/chat/') && !path.startsWith('/talk/')) {
-    await waitMs(workMs);
-    if (!socket.destroyed) socket.end(`${formatHead(requestId, ['Content-Length: 4'])}done`);
-    return;
-  }
-  const headers = ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked'];
-  socket.write(formatHead(requestId, headers));
-  const events = Math.ceil(workMs / EVENT_INTERVAL_MS);
-  for (let id = 1; id <= events && !socket.destroyed; id += 1) {
-    socket.write(formatChunk(formatEvent(id)));
-    await waitMs(EVENT_INTERVAL_MS);
-  }
-  if (!socket.destroyed) socket.end(formatChunk(''));
-}
--- a/test/support/stopSoak.ts
+++ b/test/support/stopSoak.ts
@@ -12,6 +12,7 @@
 import { startGatewayFixture } from './gatewayFixture.js';
 import type { Call, StoppableGateway } from './stopCallers.js';
 import { runCaller } from './stopCallers.js';
+import { createStopRoutes } from './stopFixture.js';
 import { waitMs } from './waiting.js';
 
 const STOP_LIMIT_MS = 8_000;
@@ -89,7 +90,7 @@
   for (const worker of workers) fixture.publishWorker(worker, { slots: UPSTREAM_SLOTS });
   let version = 2;
   const publishConfiguration = (): void => {
-    fixture.publishConfiguration(version, { routes: createRoutes() });
+    fixture.publishConfiguration(version, { routes: createStopRoutes(ROUTE_TIMEOUT_MS) });
     version += 1;
   };
   publishConfiguration();
@@ -237,25 +238,6 @@
   return `${call.requestId} ${call.path} at ${call.gateway.program.processId}: connected ${after(call.connectedAt)}, sent ${after(call.sentAt)}, ${call.end} ${after(call.endedAt)} ms after SIGTERM, status ${call.status ?? 'none'}, work [${work.join(', ')}]`;
 }
 
-function createRoutes(): object[] {
-  const base = {
-    host: 'app.example',
-    timeoutMs: ROUTE_TIMEOUT_MS,
-    targetLatencyMs: 2_000,
-    targetGapMs: 500,
-    priority: 1,
-    service: 'assistant',
-    public: false,
-    maxAttempts: 2,
-  };
-  return [
-    { ...base, name: 'chat', prefix: '/chat/', routeType: 'streaming', resumable: true },
-    { ...base, name: 'talk', prefix: '/talk/', routeType: 'streaming', resumable: false },
-    { ...base, name: 'lookup', prefix: '/lookup/', routeType: 'idempotent' },
-    { ...base, name: 'pay', prefix: '/pay/', routeType: 'non_idempotent' },
-  ];
-}
-
 function startWorker(index: number, work: Map<string, Work[]>): Promise<RawWorker> {
   return startRawWorker(`i-${index}`, (socket, request) => {
     if (!request.requestId.startsWith('r-')) {
