fix: a connection counts as idle from its last response on

Cause: the bytes of requests that had been answered counted as use of a connection at the first look, so that all connections stayed open for one more second of a stop.

--- a/src/connection/callerConnection.spec.ts
+++ b/src/connection/callerConnection.spec.ts
@@ -61,6 +61,20 @@
     expect(connection.measureIdleMs(750)).to.equal(50);
   });
 
+  // The bytes of a request that has been answered are no use of the connection after its response.
+  it('guards against a connection that does not count as idle because of an earlier request', async () => {
+    const connection = new CallerConnection<string>(accepted, 0);
+    caller.write('request');
+    await waitUntil('read', () => accepted.bytesRead > 0);
+    connection.add('first');
+    connection.remove('first', 100);
+    expect(connection.measureIdleMs(900)).to.equal(800);
+    caller.write('begin');
+    await waitUntil('read', () => accepted.bytesRead > 7);
+    expect(connection.measureIdleMs(950)).to.equal(0);
+    expect(connection.measureIdleMs(1_000)).to.equal(50);
+  });
+
   // A socket that is closed with unread bytes is reset.
   it('guards against a reset by bytes that arrive after the close', async () => {
     const connection = new CallerConnection<string>(accepted, 0);
--- a/src/connection/callerConnection.ts
+++ b/src/connection/callerConnection.ts
@@ -11,6 +11,7 @@
   private readonly unfinished = new Set<Exchange>();
   private hasAnnouncedClose = false;
   private hasClosed = false;
+  /** Bytes read by the time of `idleSince`; more are the beginning of another request. */
   private knownBytesRead = 0;
 
   /**
@@ -54,6 +55,7 @@
   remove(exchange: Exchange, now: number): void {
     this.unfinished.delete(exchange);
     this.idleSince = now;
+    this.knownBytesRead = this.socket.bytesRead;
   }
 
   /**
