test: give the cuts of heads the same numbers for all requests

Cause: ids of different lengths have different numbers of cuts, so some cuts of the sample were tested twice and others not at all: for clients that send an id, those in the blank line.

Change: the ids of one spec have one length; the sample of the other is as long as the longest id. `listCuts` and `listMiddleCuts` are `listHeadCuts` and `listPrefixes`.

--- a/test/failures/cutHeads.spec.ts
+++ b/test/failures/cutHeads.spec.ts
@@ -4,7 +4,12 @@
 import type { RawWorker } from '../standins/rawWorker.js';
 import { formatChunk, formatHead, startRawWorker } from '../standins/rawWorker.js';
 import type { CutEnding } from '../support/cutResponses.js';
-import { cutEndings, listCuts, listMiddleCuts, runConcurrently } from '../support/cutResponses.js';
+import {
+  cutEndings,
+  listHeadCuts,
+  listPrefixes,
+  runConcurrently,
+} from '../support/cutResponses.js';
 import type { GatewayFixture } from '../support/gatewayFixture.js';
 import { startGatewayFixture } from '../support/gatewayFixture.js';
 import { formatRequest, RawCaller } from '../support/rawCaller.js';
@@ -102,6 +107,11 @@
   return { status, body, seal, end, surplus, count: responses.length };
 }
 
+/** All ids have the same length, so that a cut has the same number in the heads of all requests. */
+function formatId(index: number): string {
+  return `r-${String(index).padStart(5, '0')}`;
+}
+
 function parseErrorCode(body: string): unknown {
   try {
     return (JSON.parse(body) as { error?: { code?: unknown } }).error?.code;
@@ -160,7 +170,7 @@
     const { route, name } = cutCase;
     const caller = new RawCaller(fixture.urls[0] ?? '');
     const body = route.method === 'POST' ? 'question' : undefined;
-    const request = formatRequest(`${route.path}${index}`, `r-${index}`, body, [
+    const request = formatRequest(`${route.path}${index}`, formatId(index), body, [
       'Connection: close',
     ]);
     caller.send(route.method === 'HEAD' ? request.replace('GET', 'HEAD') : request);
@@ -221,13 +231,12 @@
     for (const [shape, format] of Object.entries(shapes)) {
       // A caller that takes such an answer for a whole one loses its result without noticing.
       it(`guards against a cut head that counts as a whole answer or as not run; ${routeName}, ${shape}`, async () => {
-        const cuts = listCuts(format('r-0000'));
+        const cuts = listHeadCuts(format(formatId(0)));
         const added = endingNames.flatMap((ending, endingIndex) =>
           cuts.map((_, cutIndex): CutCase => ({
             name: `cut ${cutIndex} of ${cuts.length}, ${ending}`,
             route,
-            // The id is longer than that of the sample, but the cuts are found by their place in the structure.
-            formatCut: (id) => listCuts(format(id))[cutIndex] ?? '',
+            formatCut: (id) => listHeadCuts(format(id))[cutIndex] ?? '',
             ending,
             isSecondWhole: (cutIndex + endingIndex) % 2 === 0,
           })),
@@ -251,7 +260,7 @@
       it(`guards against a body that is cut in a size line, a chunk or the trailers and looks whole; ${routeName}, ${kind}`, async () => {
         const half = Math.floor(text.length / 2);
         const encoded = `${text.slice(0, half).length.toString(16)};x=y\r\n${text.slice(0, half)}\r\n${formatChunk(text.slice(half))}${trailers}`;
-        const added = listMiddleCuts(encoded).map((cut, index): CutCase => ({
+        const added = listPrefixes(encoded).map((cut, index): CutCase => ({
           name: `cut after ${JSON.stringify(cut.slice(-8))}`,
           route,
           formatCut: (id) => formatHead(id, [header, CHUNKED, 'Trailer: X-Sum']) + cut,
--- a/test/failures/cutReplies.spec.ts
+++ b/test/failures/cutReplies.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { randomUUID } from 'node:crypto';
 import type { Result } from 'ts-results-es';
 import { engineProbe, RankEngineClient } from '../../platform/rankEngineClient.js';
 import { StoreClient } from '../../platform/storeClient.js';
@@ -13,7 +14,12 @@
 import type { RawWorker } from '../standins/rawWorker.js';
 import { formatChunk, formatHead, startRawWorker } from '../standins/rawWorker.js';
 import type { CutEnding } from '../support/cutResponses.js';
-import { cutEndings, listCuts, listMiddleCuts, runConcurrently } from '../support/cutResponses.js';
+import {
+  cutEndings,
+  listHeadCuts,
+  listPrefixes,
+  runConcurrently,
+} from '../support/cutResponses.js';
 import { waitUntil } from '../support/waiting.js';
 
 const SERVERS = 8;
@@ -21,6 +27,8 @@
 const MAX_REPORTED = 10;
 const CHUNKED = 'Transfer-Encoding: chunked';
 const LAST_CHUNK = '0\r\n\r\n';
+/** A head without an id has fewer cuts; the last one stands for those that it lacks. */
+const SAMPLE_ID = randomUUID();
 const TRAILERS = '0\r\nX-Sum: 12\r\n\r\n';
 const token = { incarnation: 1, fencing: 1 };
 const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
@@ -306,7 +314,7 @@
   format(requestId: string): string;
 }
 
-/** Whether a cut body has its end marker, also if that is in the middle of two chunks. */
+/** Whether a cut body contains its end marker, which may be split between two chunks. */
 function isWholeByMarker({ endMarker }: ClientCase, cut: string): boolean {
   const content = cut.replace(/(^|\r\n)[0-9a-f]+(;[^\r]*)?\r\n/g, '');
   return endMarker !== undefined && content.includes(endMarker);
@@ -376,10 +384,10 @@
     // Taken for an answer, it would be an empty result, a refusal of work that runs, or a list without entries.
     it(`guards against a cut head that counts as an answer; ${clientName}`, async () => {
       const cuts = Object.values(shapes).flatMap((format) =>
-        createCuts(
-          listCuts(format('', text.length)),
-          (id, index) => listCuts(format(id, text.length))[index] ?? '',
-        ),
+        createCuts(listHeadCuts(format(SAMPLE_ID, text.length)), (id, index) => {
+          const ownCuts = listHeadCuts(format(id, text.length));
+          return ownCuts[Math.min(index, ownCuts.length - 1)] ?? '';
+        }),
       );
       expect(await findWrongVerdicts(client, cuts, 'lost')).to.deep.equal([]);
     });
@@ -391,7 +399,7 @@
       const half = Math.floor(text.length / 2);
       const first = text.slice(0, half);
       const encoded = `${first.length.toString(16)};x=y\r\n${first}\r\n${formatChunk(text.slice(half))}${TRAILERS}`;
-      const beforeEnd = listMiddleCuts(encoded).filter((cut) => !isWholeByMarker(client, cut));
+      const beforeEnd = listPrefixes(encoded).filter((cut) => !isWholeByMarker(client, cut));
       const cuts = createCuts(beforeEnd, (id, index) =>
         formatHead(id, [CHUNKED]).concat(beforeEnd[index] ?? ''),
       );
@@ -402,7 +410,7 @@
 
     // The end of the connection does not show whether such a body is complete.
     it(`guards against a body without a length that is cut and counts as whole; ${clientName}`, async () => {
-      const bodies = listMiddleCuts(text).filter((cut) => !isWholeByMarker(client, cut));
+      const bodies = listPrefixes(text).filter((cut) => !isWholeByMarker(client, cut));
       const cuts = createCuts(bodies, (id, index) =>
         formatHead(id, ['Connection: close']).concat(bodies[index] ?? ''),
       );
--- a/test/failures/cutRequests.spec.ts
+++ b/test/failures/cutRequests.spec.ts
@@ -1,7 +1,12 @@
 import { expect } from 'chai';
 import type { RawWorker } from '../standins/rawWorker.js';
 import { formatChunk, formatHead, startRawWorker } from '../standins/rawWorker.js';
-import { cutEndings, listCuts, listMiddleCuts, runConcurrently } from '../support/cutResponses.js';
+import {
+  cutEndings,
+  listHeadCuts,
+  listPrefixes,
+  runConcurrently,
+} from '../support/cutResponses.js';
 import { getExampleToken } from '../support/deployment.js';
 import type { EntryFixture } from '../support/entryFixture.js';
 import { startEntryFixture } from '../support/entryFixture.js';
@@ -40,7 +45,7 @@
 
 /** Sends each beginning of a request, and returns the answers that are no refusals. */
 async function sendCutRequests(url: string, requests: readonly string[]): Promise<string[]> {
-  const cuts = requests.flatMap(listMiddleCuts);
+  const cuts = requests.flatMap(listPrefixes);
   const findings: string[] = [];
   const names = Object.keys(departures);
   await runConcurrently(cuts.length * names.length, CALLERS, async (index) => {
@@ -187,7 +192,7 @@
       // A chat without text would look as if the engine had nothing to say.
       it(`guards against a chat that looks complete; ${shape}, ${isStreamed ? 'streamed' : 'whole'}`, async () => {
         const findings: string[] = [];
-        const cuts = listCuts(head).filter((_, index) => index % 3 === 0);
+        const cuts = listHeadCuts(head).filter((_, index) => index % 3 === 0);
         for (const [index, cut] of cuts.entries()) {
           let isFaulty = false;
           let faults = 0;
--- a/test/support/cutResponses.ts
+++ b/test/support/cutResponses.ts
@@ -27,9 +27,9 @@
  * Lists the beginnings of a head that end within a line, at its end or one byte beside it.
  *
  * @param head - Head or heads with their blank line
- * @returns Cut heads; as many for each text with the same lines, apart from the content of the lines
+ * @returns Cut heads in order of their length
  */
-export function listCuts(head: string): string[] {
+export function listHeadCuts(head: string): string[] {
   const positions = new Set<number>([0, 1]);
   let start = 0;
   while (start < head.length) {
@@ -48,12 +48,12 @@
 }
 
 /**
- * Lists all beginnings of a text, without the whole text.
+ * Lists all prefixes of a text that are shorter than the text.
  *
  * @param text - Text
- * @returns Beginnings in order of their length, from the empty one on
+ * @returns Prefixes in order of their length, from the empty one on
  */
-export function listMiddleCuts(text: string): string[] {
+export function listPrefixes(text: string): string[] {
   return Array.from({ length: text.length }, (_, length) => text.slice(0, length));
 }
 
