test: the stop soak counts requests that ended at their deadline apart from cut ones

A quarter of its requests have a deadline of 1.5 s, so that most that counted as cut had ended at their own time limit. What counts as a fault is unchanged.

--- a/test/support/stopSoak.ts
+++ b/test/support/stopSoak.ts
@@ -188,8 +188,7 @@
       faults.push(`refused, but ran: ${describeCall(call)}`);
     const { stoppedAt } = call.gateway;
     if (stoppedAt === undefined || call.endedAt < stoppedAt) continue;
-    const isPastDeadline = call.endedAt - call.sentAt >= call.deadlineMs - DEADLINE_MARGIN_MS;
-    if (isPastDeadline || (call.end === 'complete' && call.status !== 504)) continue;
+    if (isPastDeadline(call) || (call.end === 'complete' && call.status !== 504)) continue;
     const hasCrossedClose = call.work.length === 0 && call.endedAt - call.sentAt <= CROSSING_MS;
     if (!hasCrossedClose && !isExcused(call, stoppedAt)) faults.push(describeCall(call));
   }
@@ -215,11 +214,19 @@
     late: calls.filter(isLate).length,
     latePassedOn: calls.filter((call) => isLate(call) && call.work.length > 0).length,
     refused: calls.filter(({ status }) => status === 503).length,
-    cut: calls.filter(({ end, work }) => end !== 'complete' && work.length > 0).length,
+    pastDeadline: calls.filter(isPastDeadline).length,
+    cut: calls.filter(
+      (call) => call.end !== 'complete' && call.work.length > 0 && !isPastDeadline(call),
+    ).length,
     unansweredAndNotRun: calls.filter(isUnanswered).length,
   };
 }
 
+/** Whether a request ended by its own time limit. */
+function isPastDeadline({ sentAt, endedAt, deadlineMs }: Call): boolean {
+  return endedAt - sentAt >= deadlineMs - DEADLINE_MARGIN_MS;
+}
+
 function isExcused({ sentAt, work }: CallRecord, stoppedAt: number): boolean {
   if (sentAt - stoppedAt > EXCUSED_SENT_MS) return false;
   return work.some(
