test: the cluster spec counts only the processes that its cluster has started

Cause: countProcesses() included processes of earlier specs that had been sent SIGKILL and had not ended yet, so that the difference was negative.

Reproduced by running the two files one after the other: 'expected -1 to equal +0'.

Change: the ids of the processes that run are compared, and none that is new may be left, which is as strict. After: both files pass one after the other.

--- a/test/support/cluster.spec.ts
+++ b/test/support/cluster.spec.ts
@@ -4,7 +4,7 @@
 import { buildDeployment, countPorts } from './deployment.js';
 import { reduceOutline, unionOutline } from './outlines.js';
 import { reservePorts } from './ports.js';
-import { countProcesses } from './processes.js';
+import { listProcesses } from './processes.js';
 
 describe('clusters of processes', function () {
   this.timeout(60_000);
@@ -16,13 +16,13 @@
     const [agent] = deployment.agents;
     const blocker = createRouteServer({});
     await listenOnLoopback(blocker, agent?.linkPort ?? 0);
-    const before = countProcesses();
+    const before = new Set(listProcesses());
     const error: unknown = await startCluster(deployment).then(
       () => undefined,
       (reason: unknown) => reason,
     );
     blocker.close();
     expect(String(error)).to.include('before the ready line');
-    expect(countProcesses() - before).to.equal(0);
+    expect(listProcesses().filter((id) => !before.has(id))).to.deep.equal([]);
   });
 });
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -35,12 +35,12 @@
 }
 
 /**
- * Counts the started processes that still run.
+ * Lists the started processes that still run.
  *
- * @returns Number of process groups
+ * @returns Ids of their process groups
  */
-export function countProcesses(): number {
-  return processGroups.size;
+export function listProcesses(): number[] {
+  return [...processGroups];
 }
 
 process.once('exit', stopAllProcesses);
