test: the time-out of a process that is busy again is checked after its turn

Cause: the spec checked the second delay with a timer of 1 ms. If the process is late by a millisecond, that timer fires in the same phase as the one of the time-out, whose listener is called by setImmediate, so that the check comes first.

Change: the check waits for the end of the turn, in which the time-out must have been reported. Nothing else is changed.

--- a/src/startTimeout.spec.ts
+++ b/src/startTimeout.spec.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events';
 import type { AddressInfo, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate as waitForTurn, setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import { startTimeout } from './startTimeout.js';
 
@@ -79,6 +79,9 @@
     expect(timeouts).to.equal(0);
     blockEventLoop();
     await sleep(1);
+    // If the process is late by a millisecond, this timer fires together with that of the time-out, whose listener is
+    // called at the end of the turn.
+    await waitForTurn();
     expect(timeouts).to.equal(1);
   });
 
