test: a late request of the stop tests comes after the listener has closed

Cause: the test, not the gateway. Its early stream lasted 2.6 s, counted from its start, and the gateway still takes requests that are expected to finish in the first 2.6 s after SIGTERM. When SIGTERM was handled some 30 ms late, the next request came before that time, was rightly taken, and waited for its body.

Ruled out: load alone; the runs were on an otherwise idle core.

Change: both tests that mean a request after the listener has closed use a stream of 3.3 s, as lateRequests.spec.ts does, and wait until the listener refuses connections. The check and its bound of 1000 ms are unchanged.

--- a/test/failures/stopDecisions.spec.ts
+++ b/test/failures/stopDecisions.spec.ts
@@ -5,7 +5,11 @@
 import type { GatewayFixture } from '../support/gatewayFixture.js';
 import { startGatewayFixture } from '../support/gatewayFixture.js';
 import type { GatewayProgram } from '../support/gatewayProgram.js';
-import { startGatewayProgram, waitUntilProgramReady } from '../support/gatewayProgram.js';
+import {
+  startGatewayProgram,
+  waitUntilListenerClosed,
+  waitUntilProgramReady,
+} from '../support/gatewayProgram.js';
 import { RawCaller } from '../support/rawCaller.js';
 import type { Responder } from '../support/stopFixture.js';
 import {
@@ -59,6 +63,7 @@
   const countRuns = (requestId: string): number =>
     workers.flatMap(({ requests }) => requests).filter((sent) => sent.requestId === requestId)
       .length;
+  /** Starts a stream whose head comes before SIGTERM, so that it cannot announce the close of its connection. */
   const startEarlyStream = async (id: string, path: string): Promise<RawCaller> => {
     const caller = new RawCaller(program.url);
     caller.send(formatTimedRequest(path, id, 'question', LONG_DEADLINE_MS));
@@ -135,9 +140,10 @@
   // The decision was made only after the body had been read, so that its caller sent all of it in vain.
   it('guards against a refusal that waits for the body of a request without time to finish', async () => {
     await start(STOP_LIMIT_MS);
-    const caller = await startEarlyStream('r-0', '/chat/2600');
+    const caller = await startEarlyStream('r-0', '/chat/3300');
     program.child.kill('SIGTERM');
     await waitUntil('stream ended', () => listResponses(caller)[0]?.end === 'complete');
+    await waitUntilListenerClosed(program);
     const text = formatTimedRequest('/pay/50', 'r-1', 'question', LONG_DEADLINE_MS);
     caller.send(text.slice(0, -3));
     await waitUntil('refused', () => listResponses(caller)[1]?.status === 503, {
@@ -153,9 +159,10 @@
       caller.send(formatTimedRequest('/lookup/20', `w-${index}`, undefined, LONG_DEADLINE_MS));
       await waitUntil('answered', () => listResponses(caller).length === index + 1);
     }
-    const streams = await startEarlyStream('r-0', '/talk/2700');
+    const streams = await startEarlyStream('r-0', '/talk/3300');
     program.child.kill('SIGTERM');
     await waitUntil('stream ended', () => listResponses(streams)[0]?.end === 'complete');
+    await waitUntilListenerClosed(program);
     streams.send(formatTimedRequest('/lookup/20', 'r-1', undefined, LONG_DEADLINE_MS));
     const exchange = await streams.waitForEnd(CALLER_TIMEOUT_MS);
     expect(listResponses(exchange)[1]).to.include({ requestId: 'r-1', status: 200 });
--- a/test/support/gatewayProgram.ts
+++ b/test/support/gatewayProgram.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { request } from 'undici';
+import { probeListener } from '../../src/connection/probeListener.js';
 import { buildProgram } from './compiledPrograms.js';
 import { reservePorts } from './ports.js';
 import { rootDirectory } from './processes.js';
@@ -122,3 +123,13 @@
     timeoutMs: READY_TIMEOUT_MS,
   });
 }
+
+/**
+ * Waits until a gateway program that stops no longer accepts connections.
+ *
+ * @param program - Gateway program
+ */
+export async function waitUntilListenerClosed({ url }: GatewayProgram): Promise<void> {
+  const { host } = new URL(url);
+  await waitUntil('listener closed', async () => !(await probeListener(host)));
+}
