fix: processes that start together take no evidence from each other about a restored store

Cause: a gateway without memory that first sees an era above 0 ended its wait as soon as any peer had replied, also one that knew no era either, or when it knew no other gateway. Gateways that start together link with each other first, before those that kept running have reconnected.

Evidence: with two gateways that start right after a restore, every request with the revoked key was answered 200 between the limit of the revocation and the end of the grace period ("expected [ 200 ] to deeply equal [ 503 ]").

Change: the wait ends when a peer states that the store is complete, when the configuration is written again in this era, or after the grace period. StoreEra.confirm and what followed from it are gone. The lack of knowledge of a peer proves nothing, and neither does the lack of known gateways.

The former test "processes that started together and wait for each other" asked for the fault: it guarded the availability of a common start. It is replaced by one that holds such processes to the end of the grace period and not longer, and by one for a store that was never restored (era 0), where nobody waits. The price: when all gateways end at once while the store has been restored before, they refuse for 2.2 s after their first read.

--- a/src/process/gateway/gatewayPeers.ts
+++ b/src/process/gateway/gatewayPeers.ts
@@ -134,11 +134,10 @@
    *
    * @param version - Version of the cached configuration
    * @param configurationOnly - Does not request the upstream list, which is far longer than the rest of a reply
-   * @returns False when there are other gateways but none has replied
    */
-  async queryAll(version: number, configurationOnly: boolean): Promise<boolean> {
+  async queryAll(version: number, configurationOnly: boolean): Promise<void> {
     const links = shuffle([...this.links.values()]);
-    const replies = await Promise.all(
+    await Promise.all(
       links.map(async (link, index) => {
         if (index < MAX_COMPLETE_REPLIES) {
           return this.queries.send(link, { version, configurationOnly });
@@ -149,7 +148,6 @@
         return isNewer ? this.queries.send(link, { version, configurationOnly: true }) : reply;
       }),
     );
-    return replies.some((reply) => reply !== undefined) || this.knownAddresses.size === 0;
   }
 
   /**
--- a/src/process/gateway/peerSnapshots.spec.ts
+++ b/src/process/gateway/peerSnapshots.spec.ts
@@ -59,7 +59,6 @@
   it('guards against a restored store that counts as complete on the word of a gateway without memory', () => {
     const started = new StoreEra();
     started.observe(1, RESTORED_AT_MS);
-    started.confirm();
     const running = new StoreEra();
     running.observe(0, 0);
     running.observe(1, RESTORED_AT_MS);
--- a/src/process/gateway/peerSnapshots.ts
+++ b/src/process/gateway/peerSnapshots.ts
@@ -89,7 +89,7 @@
     const { current } = configurationCache;
     const { current: era } = storeEra;
     return {
-      ...(era !== undefined && storeEra.hasEvidence(monotonicNow)
+      ...(era !== undefined && storeEra.isConfirmed(monotonicNow)
         ? { era, isEraComplete: storeEra.isComplete(monotonicNow) }
         : {}),
       version: configurationCache.version,
--- a/src/process/gateway/storeEra.spec.ts
+++ b/src/process/gateway/storeEra.spec.ts
@@ -55,7 +55,6 @@
       const storeEra = new StoreEra();
       storeEra.observe(2, 0);
       storeEra.observePeer(era, isComplete, 100);
-      storeEra.confirm();
       return [name, storeEra.isComplete(100)];
     });
     expect(Object.fromEntries(outcomes)).to.deep.equal({
@@ -65,14 +64,21 @@
     });
   });
 
-  // Guards against keys refused for the grace period after every common start of all processes.
-  it('guards against processes that started together and wait for each other', () => {
+  // Guards against revoked keys that processes without memory honour on each other's word.
+  it('guards against processes that started together and take each other for evidence', () => {
     const storeEra = new StoreEra();
     storeEra.observe(2, 0);
-    expect([storeEra.isConfirmed(50), storeEra.isComplete(50)]).to.deep.equal([false, false]);
     storeEra.observePeer(undefined, false, 100);
-    storeEra.confirm();
-    expect([storeEra.isConfirmed(100), storeEra.isComplete(50)]).to.deep.equal([true, true]);
+    storeEra.recordConfiguration(5, false, 150);
+    expect([storeEra.isConfirmed(2199), storeEra.isComplete(2199)]).to.deep.equal([false, false]);
+    expect([storeEra.isConfirmed(2200), storeEra.isComplete(2200)]).to.deep.equal([true, true]);
+  });
+
+  // Guards against keys refused for the grace period at a common start with a store that was never restored.
+  it('guards against processes that wait for each other although the store was never restored', () => {
+    const storeEra = new StoreEra();
+    storeEra.observe(0, 0);
+    expect([storeEra.isConfirmed(0), storeEra.isComplete(0)]).to.deep.equal([true, true]);
   });
 
   // Guards against a lone process that waits for peers for good.
@@ -87,7 +93,6 @@
   it('guards against a grace period that starts again although a peer has seen the data written again', () => {
     const storeEra = new StoreEra();
     storeEra.observe(1, 0);
-    storeEra.confirm();
     storeEra.observe(2, 60_000);
     expect(storeEra.isComplete(60_000)).to.equal(false);
     storeEra.observePeer(2, true, 60_010);
--- a/src/process/gateway/storeEra.ts
+++ b/src/process/gateway/storeEra.ts
@@ -19,10 +19,11 @@
   private baseRevision: number | undefined;
   private completeSince = -Infinity;
   private caughtUpSince = -Infinity;
-  /** False while nobody has told this process, which has no memory, whether the store was restored before its start. */
+  /**
+   * False while nobody has told this process, which has no memory, whether the store was restored before its start.
+   * Peers that know no era prove nothing: a gateway that knows a lost version may not have linked with them yet.
+   */
   private hasMemory = true;
-  /** Until then the completeness of the store is only assumed, and peers must not rely on it. */
-  private assumedUntil = -Infinity;
 
   /** Newest era seen; undefined before the first answer of the store or of a peer. */
   get current(): number | undefined {
@@ -30,25 +31,15 @@
   }
 
   /**
-   * Checks whether this process knows if the store was restored shortly before.
+   * Checks whether this process knows if the store was restored shortly before. Peers may rely only on one that does.
    *
    * @param now - Current time on the monotonic clock, in milliseconds
-   * @returns False from the first answer of the store until a peer has replied or the grace period has ended
+   * @returns False from the first answer of the store until a peer has stated its era or the grace period has ended
    */
   isConfirmed(now: number): boolean {
     return this.hasMemory || now >= this.completeSince;
   }
 
-  /**
-   * Checks whether peers may rely on what this process knows of the era.
-   *
-   * @param now - Current time on the monotonic clock, in milliseconds
-   * @returns False while it is unconfirmed, or confirmed only by peers that know no era either
-   */
-  hasEvidence(now: number): boolean {
-    return this.isConfirmed(now) && now >= this.assumedUntil;
-  }
-
   /**
    * Records the era of an answer of the store.
    *
@@ -62,7 +53,6 @@
     const isFirst = this.era === undefined;
     this.era = era;
     this.baseRevision = undefined;
-    this.assumedUntil = -Infinity;
     if (isFirst && era === INITIAL_ERA) return true;
     this.hasMemory = !isFirst;
     this.completeSince = now + REWRITE_GRACE_MS;
@@ -83,21 +73,10 @@
     const isCurrent = this.observe(era, now);
     // A peer that states an era remembers the time before the start of this process.
     this.hasMemory = true;
-    if (isCurrent && isComplete) {
-      this.completeSince = Math.min(this.completeSince, now);
-      this.assumedUntil = -Infinity;
-    }
+    if (isCurrent && isComplete) this.completeSince = Math.min(this.completeSince, now);
     return isCurrent;
   }
 
-  /** Ends the wait of a process that started anew, when peers have replied and none of them knew an era either. */
-  confirm(): void {
-    if (this.hasMemory) return;
-    this.hasMemory = true;
-    this.assumedUntil = this.completeSince;
-    this.completeSince = -Infinity;
-  }
-
   /**
    * Records a read of the configuration in the current era. A second revision within the era shows that the operator has
    * written again.
@@ -110,7 +89,6 @@
     this.baseRevision ??= revision;
     if (revision === this.baseRevision || isBehind) return;
     this.hasMemory = true;
-    this.assumedUntil = -Infinity;
     this.completeSince = Math.min(this.completeSince, readStartedAt);
   }
 
--- a/src/process/gateway/storePolling.spec.ts
+++ b/src/process/gateway/storePolling.spec.ts
@@ -70,7 +70,7 @@
       readMonotonicClock: () => reads * 200,
       queryPeers: () => {
         steppedMs = 60_000;
-        return Promise.resolve(true);
+        return Promise.resolve();
       },
       onChange: discard,
       onUpstreamStarted: discard,
--- a/src/process/gateway/storePolling.ts
+++ b/src/process/gateway/storePolling.ts
@@ -47,9 +47,8 @@
    * Queries the other gateways while the store cannot be read or has lost data.
    *
    * @param configurationOnly - Does not request their upstream lists
-   * @returns False when there are other gateways but none has replied
    */
-  readonly queryPeers: (configurationOnly: boolean) => Promise<boolean>;
+  readonly queryPeers: (configurationOnly: boolean) => Promise<void>;
   /** Called after a read that changed the configuration, the evacuated zones or the upstream list. */
   readonly onChange: () => void;
   /** Called after this process has itself read a change from the store. */
@@ -132,9 +131,7 @@
   const isBehind = (): boolean => version < configurationCache.version;
   storeEra.recordConfiguration(revision, isBehind(), times.monotonicStartedAt);
   applyEvacuations(options, read, times, isBehind());
-  if (!storeEra.isComplete(times.monotonicStartedAt, isBehind())) {
-    if (await options.queryPeers(true)) storeEra.confirm();
-  }
+  if (!storeEra.isComplete(times.monotonicStartedAt, isBehind())) await options.queryPeers(true);
   const isProof = storeEra.isComplete(times.monotonicStartedAt, isBehind());
   const validatedAt = isProof ? times.readStartedAt : -Infinity;
   if (configuration === undefined) {
--- a/test/failures/restoredStore.spec.ts
+++ b/test/failures/restoredStore.spec.ts
@@ -112,6 +112,21 @@
     expect(describeGateway(2).configurationVersion).to.equal(2);
   });
 
+  // Guards against gateways that start together and take each other's lack of knowledge for a complete store, before a
+  // running gateway that knows the lost version has linked with them.
+  it('guards against a revoked key at processes that start together after the restore', async () => {
+    fixture = await startGatewayFixture({ era: 1, gateways: 2, started: 0, settings });
+    const acknowledgedAt = loseRevocation();
+    await fixture.startNextGateway();
+    await fixture.startNextGateway();
+    const statuses = await collectLateStatuses(acknowledgedAt, 1);
+    expect([...statuses]).to.deep.equal([503]);
+    fixture.publishConfiguration(2, withoutSecondKey);
+    await waitUntil('version 2', () => describeGateway(1).configurationVersion === 2);
+    await waitUntil('key-1 is served', async () => (await callWithKey('key-1', 1)) === 200);
+    expect(await callWithKey('key-2', 1)).to.equal(401);
+  });
+
   // Guards against an outage at a restore because the upstreams registered after the copy was taken.
   it('guards against refused requests while upstreams that the copy lacks register again', async () => {
     fixture = await startGatewayFixture({ era: 1, workers: 1 });
