fix: responses that came before the limit of a stop are delivered after a pause

What callers saw: a payment and two streams that their upstreams had answered 0.6 s before the limit of a stop got 504 or were cut, when the gateway was paused, or not scheduled, from 1 s before the limit until 50 ms after it.

Cause: timers run before sockets are read. The loop of the drain checked the limit right after its sleep and ended all requests, with the responses unread.

Change: the limit is checked before the sockets are read, so the interval in which it passes is the last one, and what has come is delivered in it.

--- a/src/process/gateway/drainCallers.ts
+++ b/src/process/gateway/drainCallers.ts
@@ -38,14 +38,17 @@
   }
   await acceptPending(() => callers.acceptedCount);
   callers.closeListener();
+  let isOver: boolean;
   do {
-    // When the process was busy, timers run before sockets are read.
+    // When the process was busy or paused, timers run before sockets are read. The same holds for the limit: responses
+    // that came before it are delivered during the last interval.
+    isOver = stop.isOver(options.readClock());
     await pollSocketsOnce();
     const now = options.readClock();
     callers.endLate(now);
     metrics.addCount('stop_connections_closed', callers.closeIdle(now));
     await sleep(POLL_INTERVAL_MS);
-  } while (callers.size > 0 && !stop.isOver(options.readClock()));
+  } while (callers.size > 0 && !isOver);
   const unfinished = callers.countUnfinished();
   logUnfinished(options);
   callers.endAll();
