fix: a pipelined request that waits at SIGTERM is not sent behind a stream

What callers saw: a payment that was pipelined behind a stream and waited in the queue at SIGTERM was sent during the stop. The limit cut the stream and with it the response to the payment, which had run.

Cause: only the decision to take a request knew that it waits behind another response. A request that had been taken before SIGTERM was decided again without that when its turn came.

Nothing changes while the gateway is not stopping.

--- a/src/request/forwarding/stopPolicy.ts
+++ b/src/request/forwarding/stopPolicy.ts
@@ -30,28 +30,27 @@
  *
  * While the load balancer still opens connections to a stopping gateway, a refused caller would probably come back to
  * it, so requests are taken that are expected to finish. After that, a refusal costs one round trip to another gateway,
- * and only a request is taken that is certain not to be cut. The limit may cut the earlier response on a connection, and
- * with it the responses that wait for it.
+ * and only a request is taken that is certain not to be cut.
  *
  * @param situation - Remaining times
  * @returns False if it is refused; it has not run
  */
 export function decideTaking(situation: StopSituation): boolean {
-  const { remainingMs, listeningMs, isBehindOther } = situation;
-  if (remainingMs === Infinity) return true;
-  if (isBehindOther) return false;
-  if (isCertain(situation)) return true;
-  return listeningMs > 0 && decideSending(situation);
+  if (!decideSending(situation)) return false;
+  return isCertain(situation) || situation.listeningMs > 0;
 }
 
 /**
- * Decides whether a request that was taken, and that has not run, is sent to an upstream.
+ * Decides whether a request that was taken, and that has not run, is sent to an upstream. The limit may cut the earlier
+ * response on a connection, and with it the responses that wait for it.
  *
  * @param situation - Remaining times
  * @returns False if it is expected to be cut
  */
 export function decideSending(situation: StopSituation): boolean {
-  const { remainingMs } = situation;
+  const { remainingMs, isBehindOther } = situation;
+  if (remainingMs === Infinity) return true;
+  if (isBehindOther) return false;
   if (isCertain(situation)) return true;
   return remainingMs > 0 && computeExpectedMs(situation) <= remainingMs;
 }
--- a/test/failures/stopScheduling.spec.ts
+++ b/test/failures/stopScheduling.spec.ts
@@ -104,4 +104,20 @@
     const statuses = exchanges.map((exchange) => listResponses(exchange)[0]?.status);
     expect(statuses).to.deep.equal([503, 503]);
   });
+
+  // A request that was taken before SIGTERM is sent during the stop behind a stream that the limit cuts.
+  it('guards against a queued pipelined payment that is sent during the stop behind a stream', async () => {
+    await start(2, { targetLatencyMs: 20_000 });
+    const other = await startCaller('r-x', '/pay/1000');
+    const caller = await startCaller('r-0', '/chat/19000');
+    await waitUntil('stream begun', () => caller.received.includes('id: 1'));
+    caller.send(formatTimedRequest('/pay/50', 'r-1', 'question', 4_000));
+    await waitMs(200);
+    expect(hasRun('r-1')).to.equal(false);
+    program.child.kill('SIGTERM');
+    const exchange = await caller.waitForEnd(CALLER_TIMEOUT_MS);
+    other.close();
+    expect(listResponses(exchange)).to.have.length(1);
+    expect(hasRun('r-1')).to.equal(false);
+  });
 });
