--- a/test/failures/stopScheduling.spec.ts
+++ b/test/failures/stopScheduling.spec.ts
@@ -148,3 +148,37 @@
     expect(hasRun('r-1')).to.equal(false);
   });
 });
+
+describe('clock step during a stop', function () {
+  this.timeout(20_000);
+  const readDate = Date.now;
+  afterEach(() => {
+    Date.now = readDate;
+  });
+
+  for (const isStopping of [false, true]) {
+    const title = isStopping ? 'of a gateway that stops' : 'of a gateway that does not stop';
+    // A step of the wall clock counts as a suspend of the host, and ends the time that the stop has left.
+    it(`guards against a forward step of the wall clock that cuts the streams ${title}`, async () => {
+      const worker = await startRawWorker(
+        'i-0',
+        (socket, request) => void respondByPath(socket, request),
+      );
+      const fixture = await startGatewayFixture({ workers: 0, ownWorkers: [worker] });
+      fixture.publishConfiguration(2, { routes: createStopRoutes(ROUTE_TIMEOUT_MS) });
+      await waitMs(1_000);
+      const caller = new RawCaller(fixture.urls[0] ?? '');
+      caller.send(formatTimedRequest('/talk/4500', 'r-0', 'question', ROUTE_TIMEOUT_MS));
+      await waitUntil('stream begun', () => caller.received.includes('id: 1'));
+      const stopped = isStopping ? fixture.gateways[0]?.drain() : undefined;
+      await waitMs(3_300);
+      Date.now = () => readDate() + 20_000;
+      const exchange = await caller.waitForEnd(5_000);
+      Date.now = readDate;
+      await stopped;
+      await fixture.close();
+      await worker.close();
+      expect(listResponses(exchange)[0]).to.include({ status: 200, end: 'complete' });
+    });
+  }
+});
