fix: a second pause right after the first no longer hides it

Cause: PauseDetector kept only the last pause. A gap of 250 ms or more after a wake-up (a second SIGSTOP, or a host too busy to run the process) replaced the start of the first pause.

Change: pauses are kept until BACKLOG_READ_MS were left for reading after them. Nothing changes for a single pause.

--- a/src/process/pauseDetector.ts
+++ b/src/process/pauseDetector.ts
@@ -6,6 +6,12 @@
 /** Longest interval at which `recordTick` must be called with the default. */
 export const PAUSE_TICK_INTERVAL_MS = 250;
 
+interface Pause {
+  readonly since: number;
+  /** Read time after which what was buffered during the pause has been read. */
+  readonly readUntil: number;
+}
+
 /**
  * Detects pauses of the process, for example by SIGSTOP. A request that is read right after a pause
  * may have been buffered in the kernel since the start of the pause. Its deadline, received as
@@ -13,7 +19,10 @@
  */
 export class PauseDetector {
   private lastTickAt: number;
-  private pausedSince = 0;
+  /** Pauses during which unread data may have been buffered, oldest first. */
+  private readonly unread: Pause[] = [];
+  /** Time that pauses did not leave for reading. */
+  private lostMs = 0;
   private resumedAt = Number.NEGATIVE_INFINITY;
 
   /**
@@ -41,12 +50,12 @@
    * Computes the earliest possible arrival time of data that is read now.
    *
    * @param now - Current time in milliseconds
-   * @returns `now`, or the start of a pause that ended less than `BACKLOG_READ_MS` ago
+   * @returns `now`, or the start of the earliest pause since which less than `BACKLOG_READ_MS` were left for reading
    */
   computeEarliestArrival(now: number): number {
     // Sockets can be read before the timer of the first tick after the pause has run.
     this.checkForPause(now);
-    return now - this.resumedAt < BACKLOG_READ_MS ? this.pausedSince : now;
+    return this.unread[0]?.since ?? now;
   }
 
   /**
@@ -71,9 +80,18 @@
   }
 
   private checkForPause(now: number): void {
-    if (now - this.lastTickAt < this.minPauseMs) return;
-    this.pausedSince = this.lastTickAt;
-    this.resumedAt = now;
-    this.lastTickAt = now;
+    const gapMs = now - this.lastTickAt;
+    if (gapMs >= this.minPauseMs) {
+      // A process often halts again right after a pause, before its sockets are read. It reads them at least once between
+      // two ticks, so a pause counts as one tick interval of reading, which also bounds the number of pauses kept.
+      this.lostMs += Math.max(0, gapMs - PAUSE_TICK_INTERVAL_MS);
+      this.unread.push({ since: this.lastTickAt, readUntil: now - this.lostMs + BACKLOG_READ_MS });
+      this.resumedAt = now;
+      this.lastTickAt = now;
+    }
+    const readTime = now - this.lostMs;
+    while (this.unread[0] !== undefined && this.unread[0].readUntil <= readTime) {
+      this.unread.shift();
+    }
   }
 }
