test: the late request after a pause comes once the gateway has read its signal

Cause: the test sent its late request when a stream had ended after SIGCONT. The gateway may read that request before the signal; a process cannot refuse a request for a signal it has not received. Why the signal came later was not measured: probably the kernel gave SIGTERM to another thread, as SIGSTOP was pending on the main one, and that thread ran late on a busy host.

Change: the test waits for "draining" in the log before it sends the request, as other tests of the file do. What it requires is unchanged. It still fails with 504 if the stop counts from the time at which the signal is read (gracefulStop.begin(now)), in 1 of 1 run.

--- a/test/failures/lateRequests.spec.ts
+++ b/test/failures/lateRequests.spec.ts
@@ -192,6 +192,8 @@
     await waitMs(3_000);
     program.child.kill('SIGCONT');
     await waitForStreamEnd(caller);
+    // A process that wakes up can read requests before it receives the signal, and can't refuse them for it.
+    await waitUntil('not ready', () => program.log.some((line) => line.includes('draining')));
     caller.send(formatTimedRequest('/pay/9000', 'r-1', 'question', 4_000));
     const { received } = await caller.waitForEnd(CALLER_TIMEOUT_MS);
     expect(listResponses({ received })[1]).to.include({ status: 503, end: 'complete' });
