fix: a draining agent keeps its links for 0.5 s, so that calls on their way are refused

Callers saw: a call that may not be repeated ended as 502 answer_cut, which says that it may have run, although its agent had stopped before the call arrived. It could not be sent again without a check by hand.

Cause: drain() of the agent ended its loop at once without work, slept 20 ms and let stop() close the links. Only open order slots kept them for 0.5 s. The entry saw a broken link and settled the attempt as started.

Change: a drain lasts at least LINK_GRACE_MS, cut so that it ends within its limit; what comes in that time is refused as before with draining, not started.

--- a/src/process/agent/agentDaemon.spec.ts
+++ b/src/process/agent/agentDaemon.spec.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createExpectedTokens, startEngine } from '../../../test/standins/engine.js';
 import { startPlainService } from '../../../test/standins/plainService.js';
+import { FrameRelay } from '../../../test/support/frameRelay.js';
 import { waitUntil } from '../../../test/support/waiting.js';
 import { openLink } from '../../connection/linkClient.js';
 import type { Hello, PeerLink } from '../../connection/peerLink.js';
@@ -50,11 +51,23 @@
 
 const cleanups: (() => Promise<unknown>)[] = [];
 
+async function startRelay(targetPort: number, delayMs: number): Promise<number> {
+  const relay = new FrameRelay(targetPort);
+  await relay.listen();
+  relay.decide = () => ({ delayMs });
+  cleanups.push(() => {
+    relay.close();
+    return Promise.resolve();
+  });
+  return relay.port;
+}
+
 async function startSetup(
   kind: 'engine' | 'plain',
   url: string,
   slots = 2,
   drainLimitMs = 3_000,
+  latencyMs = 0,
 ): Promise<Setup> {
   const agent = await startAgent(
     {
@@ -78,6 +91,7 @@
     },
   );
   cleanups.push(() => agent.stop());
+  const linkPort = latencyMs === 0 ? agent.linkPort : await startRelay(agent.linkPort, latencyMs);
   const received: Message[] = [];
   const recordMessage = (message: Message): void => {
     received.push(message);
@@ -98,7 +112,7 @@
     features: [SEALED_ORDERS_FEATURE],
   };
   const opened = await openLink({
-    address: `127.0.0.1:${agent.linkPort}`,
+    address: `127.0.0.1:${linkPort}`,
     self: () => hello,
     handlers: { ...handlers, slotReply: recordMessage, orderReply: recordMessage },
   });
@@ -289,4 +303,30 @@
     await waitForMessage('end', (end) => end.attempt === 'running');
     await drained;
   });
+
+  // The links were closed 20 ms after the announcement, so the entry took a call on its way for one that may have run.
+  it('guards against a call without a refusal that was sent before a drain was announced', async () => {
+    const plain = await startPlainService();
+    cleanups.push(() => plain.close());
+    const { link, agent, received } = await startSetup('plain', plain.url, 2, 3_000, 40);
+    // Reports that are on their way do not delay the announcement.
+    await sleep(300);
+    link.send({ ...createRequest('a', 'small', 1), kind: 'call' });
+    await agent.drain();
+    await agent.stop();
+    await waitUntil('link closed', () => !link.isOpen);
+    const outcomes = received.filter(({ type }) => type === 'fail' || type === 'end');
+    expect(outcomes).to.have.length(1);
+    expect(outcomes[0]).to.include({ attempt: 'a', code: 'draining', started: false });
+  });
+
+  it('guards against an idle agent that exceeds its drain limit to keep its links', async () => {
+    const plain = await startPlainService();
+    cleanups.push(() => plain.close());
+    const { agent } = await startSetup('plain', plain.url, 2, 200);
+    const since = performance.now();
+    await agent.drain();
+    // The rest is for timers that are late on a busy machine.
+    expect(performance.now() - since).to.be.lessThan(400);
+  });
 });
--- a/src/process/agent/agentDaemon.ts
+++ b/src/process/agent/agentDaemon.ts
@@ -8,7 +8,7 @@
 import { startOperatorServer } from '../operatorServer.js';
 import type { AgentOptions, Daemon } from '../types.js';
 import { createHandlers } from './agentHandlers.js';
-import { isOrderPending, createHello } from './agentLifecycle.js';
+import { computeLinkGraceEnd, createHello, isOrderPending } from './agentLifecycle.js';
 import type { AgentState } from './agentPolicy.js';
 import { AgentPolicy } from './agentPolicy.js';
 import { readClock } from './clock.js';
@@ -32,6 +32,8 @@
 /** Processes take longer to start again at their address. */
 const MIN_PAUSE_MS = 250;
 const DRAIN_POLL_INTERVAL_MS = 20;
+/** Time at the end of a drain in which the links write the final outcomes. */
+const FLUSH_MS = 20;
 /** Attempts at an upstream that stopped accepting fail after this delay, so that entries can resume them elsewhere. */
 const STALL_ABORT_DELAY_MS = 500;
 /** Engine priorities, higher first. Work beyond the guaranteed share runs at the lower priority. */
@@ -71,7 +73,8 @@
   private timer: NodeJS.Timeout | undefined;
   private readonly pauses = new PauseDetector(readClock(), MIN_PAUSE_MS);
   private draining = false;
-  private drainStartedAt = 0;
+  private drainEndsAt = 0;
+  private linkGraceEndsAt = 0;
   private ordersSealed = false;
   private closeOperatorServer: () => void = () => undefined;
   private removeConfigurationListener: () => void = () => undefined;
@@ -214,18 +217,19 @@
   async drain(): Promise<void> {
     if (!this.draining) {
       this.draining = true;
-      this.drainStartedAt = readClock();
-      this.dispatcher.beginDrain(this.options.drainLimitMs, this.drainStartedAt);
+      const now = readClock();
+      this.drainEndsAt = now + this.options.drainLimitMs;
+      const latestAt = this.drainEndsAt - DRAIN_POLL_INTERVAL_MS - FLUSH_MS;
+      this.linkGraceEndsAt = computeLinkGraceEnd(now, latestAt);
+      this.dispatcher.beginDrain(this.options.drainLimitMs, now);
       for (const link of this.server.links) link.send({ type: 'draining' });
       this.reporter.publish();
     }
-    const deadlineAt = readClock() + this.options.drainLimitMs;
-    while (readClock() < deadlineAt && this.isBusy(readClock()))
+    while (readClock() < this.drainEndsAt && this.isBusy(readClock()))
       await sleep(DRAIN_POLL_INTERVAL_MS);
     this.requests.stopAll('drain');
     this.sealOrders();
-    // Gives the links time to write the final outcomes.
-    await sleep(DRAIN_POLL_INTERVAL_MS);
+    await sleep(FLUSH_MS);
   }
 
   async stop(): Promise<void> {
@@ -308,8 +312,8 @@
   }
 
   private isBusy(now: number): boolean {
-    if (this.requests.count > 0) return true;
-    return isOrderPending(this.orders, this.memory, this.drainStartedAt, now);
+    if (this.requests.count > 0 || now < this.linkGraceEndsAt) return true;
+    return isOrderPending(this.orders, this.memory, now);
   }
 
   private describeLoad(): LoadState {
