fix: a draining agent reads its sockets before it checks its limit

Callers saw: after a pause of the agent beyond its drain limit, an order whose response had arrived ended as unknown, to be settled by hand.

Cause: after a pause timers run before sockets are read, so the drain loop found its limit reached and aborted the exchange with the response in its socket.

Evidence: a test that blocks the event loop right after the upstream has written its response, until the limit.

Change: the loop reads its sockets once after each sleep, as the gateway and the entry do in theirs.

--- a/src/process/agent/agentDaemon.spec.ts
+++ b/src/process/agent/agentDaemon.spec.ts
@@ -1,4 +1,6 @@
 import { expect } from 'chai';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createExpectedTokens, startEngine } from '../../../test/standins/engine.js';
 import { startPlainService } from '../../../test/standins/plainService.js';
@@ -329,4 +331,36 @@
     // The rest is for timers that are late on a busy machine.
     expect(performance.now() - since).to.be.lessThan(400);
   });
+
+  // The limit was checked before the sockets were read, and the order ended as `unknown`.
+  it('guards against an unknown outcome of an order whose answer waits while its agent is paused', async () => {
+    const limitMs = 1_000;
+    let drained: Promise<void> | undefined;
+    const upstream = createServer((request, response) => {
+      if (request.url !== '/orders') {
+        response.end();
+        return;
+      }
+      drained = agent.drain();
+      const endsAt = performance.now() + limitMs;
+      response.end('{}');
+      // The answer is in the socket of the agent before its event loop is blocked.
+      setImmediate(() => {
+        while (performance.now() < endsAt);
+      });
+    });
+    await new Promise<void>((resolve) => upstream.listen(0, '127.0.0.1', resolve));
+    cleanups.push(() => new Promise((resolve) => upstream.close(resolve)));
+    const { port } = upstream.address() as AddressInfo;
+    const setup = await startSetup('plain', `http://127.0.0.1:${port}`, 1, limitMs);
+    const { agent, link, waitForMessage } = setup;
+    const owner = { workspace: 'small', service: 'desk' };
+    link.send({ type: 'slotRequest', call: 'c', ...owner, count: 1 });
+    const { ids } = await waitForMessage('slotReply', (reply) => reply.call === 'c');
+    const order = { order: ids[0]!, body: Buffer.from('{}'), remainingMs: 8_000 };
+    link.send({ type: 'orderPut', call: 'p', ...owner, ...order });
+    const reply = await waitForMessage('orderReply', ({ call }) => call === 'p');
+    await drained;
+    expect(reply.state).to.equal('done');
+  });
 });
--- a/src/process/agent/agentDaemon.ts
+++ b/src/process/agent/agentDaemon.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { pollSocketsOnce } from '../../connection/acceptPending.js';
 import { LinkServer } from '../../connection/linkServer.js';
 import type { Hello, PeerLink } from '../../connection/peerLink.js';
 import { defaults } from '../../defaults.js';
@@ -225,8 +226,11 @@
       for (const link of this.server.links) link.send({ type: 'draining' });
       this.reporter.publish();
     }
-    while (readClock() < this.drainEndsAt && this.isBusy(readClock()))
+    while (readClock() < this.drainEndsAt && this.isBusy(readClock())) {
       await sleep(DRAIN_POLL_INTERVAL_MS);
+      // After a pause, timers run before the sockets are read, in which answers may wait.
+      await pollSocketsOnce();
+    }
     this.requests.stopAll('drain');
     this.sealOrders();
     await sleep(FLUSH_MS);
