test: the shutdown proof describes each request that a stop cuts

The proof printed only the number of each error code, so the cause could not be found from its output.

Each cut request is now listed with its round and stopped processes, whether it went to one of them, code and message of the error, status, number of characters received, when its connection was opened and how many requests were sent on it before, when it was sent and when it ended, relative to the signal, and when the stopped processes exited. What counts as cut is unchanged. The figures of the baseline list their error codes too.

--- a/bench/proofs/shutdown.ts
+++ b/bench/proofs/shutdown.ts
@@ -1,5 +1,6 @@
 import seedrandom from 'seedrandom';
 import { request } from 'undici';
+import type { ChatResult } from '../../test/support/chatCaller.js';
 import { ChatCallers, countCodes, performChat } from '../../test/support/chatCaller.js';
 import type { Cluster, ClusterAgent, ClusterEntry } from '../../test/support/cluster.js';
 import { sendControl, startCluster } from '../../test/support/cluster.js';
@@ -41,6 +42,23 @@
   /** Orders that ran although refused, ran twice, or were reported as done but did not run. */
   readonly falseOrders: number;
   readonly failures: Record<string, number>;
+  readonly cutRequests: readonly CutRequest[];
+}
+
+/** What is known of a request that a stop cut; times are relative to the signal. */
+interface CutRequest {
+  readonly round: string;
+  readonly kind: 'chat' | 'order';
+  readonly isAtTarget: boolean;
+  readonly code: string;
+  readonly message: string;
+  readonly status: number;
+  readonly receivedChars: number;
+  readonly connectedMs: number | undefined;
+  readonly earlierRequests: number | undefined;
+  readonly sentMs: number | undefined;
+  readonly endedMs: number;
+  readonly exitedMs: readonly number[];
 }
 
 /**
@@ -66,7 +84,7 @@
       rounds: count,
       ...graceful,
       second_signal: forced,
-      naive: { requests: baseline.requests, cut: baseline.cut },
+      naive: { requests: baseline.requests, cut: baseline.cut, failures: baseline.failures },
       ok:
         graceful.cut + graceful.falseOrders === 0 &&
         forced.exit_code === 1 &&
@@ -86,6 +104,7 @@
 ): Promise<Round> {
   const random = seedrandom(`shutdown ${seed}`);
   const total = { requests: 0, cut: 0, falseOrders: 0, failures: {} as Record<string, number> };
+  const cutRequests: CutRequest[] = [];
   for (let round = 0; round < count; round += 1) {
     const selectTargets = targets[round % targets.length];
     const chosen = (selectTargets?.(cluster, Math.floor(random() * 12)) ?? []).filter(
@@ -95,10 +114,11 @@
     total.requests += done.requests;
     total.cut += done.cut;
     total.falseOrders += done.falseOrders;
+    cutRequests.push(...done.cutRequests);
     for (const [code, number] of Object.entries(done.failures))
       total.failures[code] = (total.failures[code] ?? 0) + number;
   }
-  return total;
+  return { ...total, cutRequests };
 }
 
 async function runRound(
@@ -123,8 +143,11 @@
     workspace: WORKSPACE,
   }));
   await waitMs(WARM_UP_MS + 200 * random());
+  const signalledAt = Date.now();
   for (const target of chosen) target.process.send(signal);
-  await Promise.all(chosen.map((target) => target.process.exited));
+  const exitedMs = await Promise.all(
+    chosen.map((target) => target.process.exited.then(() => Date.now() - signalledAt)),
+  );
   await waitMs(SETTLE_MS);
   const chatResults = await chats.stop();
   const orderResults = await orders.stop();
@@ -139,7 +162,31 @@
     const key = `order ${state} ${detail}`;
     if (state !== 'done') failures[key] = (failures[key] ?? 0) + 1;
   }
+  const targetUrls = chosen.flatMap((target) => ('httpUrl' in target ? [target.httpUrl] : []));
+  const describeCut = (
+    kind: CutRequest['kind'],
+    cut: (ChatResult | OrderResult) & { readonly code: string; readonly receivedChars: number },
+  ): CutRequest => ({
+    round: `${roundLabel} ${chosen.map(({ plan }) => plan.id).join(' ')}`,
+    kind,
+    isAtTarget: targetUrls.includes(cut.url),
+    code: cut.code,
+    message: cut.message,
+    status: cut.status,
+    receivedChars: cut.receivedChars,
+    connectedMs: cut.sent === undefined ? undefined : cut.sent.connectedAt - signalledAt,
+    earlierRequests: cut.sent?.earlierRequests,
+    sentMs: cut.sent === undefined ? undefined : cut.sent.sentAt - signalledAt,
+    endedMs: cut.endedAt - signalledAt,
+    exitedMs,
+  });
   return {
+    cutRequests: [
+      ...interruptedChats.map((cut) => describeCut('chat', cut)),
+      ...interruptedOrders.map((cut) =>
+        describeCut('order', { ...cut, code: cut.detail, receivedChars: 0 }),
+      ),
+    ],
     requests: chatResults.length + orderResults.length,
     cut: interruptedChats.length + interruptedOrders.length,
     falseOrders: countFalseOrders(orderResults, await countRuns(cluster)),
--- a/test/support/chatCaller.ts
+++ b/test/support/chatCaller.ts
@@ -1,6 +1,8 @@
 import { Agent, request } from 'undici';
 import { createExpectedTokens } from '../standins/engineTokens.js';
 import { getExampleToken } from './deployment.js';
+import type { SentRequest } from './sentRequests.js';
+import { createRequestId, takeSentRequest } from './sentRequests.js';
 
 const EVENT_PREFIX = 'data: ';
 const END_MARKER = '[DONE]';
@@ -19,6 +21,13 @@
   readonly verdict: ChatVerdict;
   /** Error code of the response, or of the connection failure. */
   readonly code: string;
+  /** Message of the error of the response or connection. */
+  readonly message: string;
+  /** 0 without a response. */
+  readonly status: number;
+  readonly receivedChars: number;
+  /** Undefined if the request was not written to a connection. */
+  readonly sent: SentRequest | undefined;
   readonly startedAt: number;
   readonly endedAt: number;
 }
@@ -41,6 +50,12 @@
   readonly text: string;
   readonly ended: boolean;
   readonly code: string;
+  readonly message: string;
+}
+
+interface ErrorFields {
+  readonly code: string;
+  readonly message: string;
 }
 
 /**
@@ -72,17 +87,20 @@
  */
 export async function performChat(call: ChatCall): Promise<ChatResult> {
   const startedAt = Date.now();
-  const { status, text, ended, code } = await receiveResponse(call);
+  const requestId = createRequestId();
+  const { status, text, ended, code, message } = await receiveResponse(call, requestId);
   const isRefused = (status === 0 && code === 'ECONNREFUSED') || (status === 503 && text === '');
   const verdict = isRefused ? 'refused' : checkResponse(text, ended, call.prompt, call.maxTokens);
   const { prompt, url } = call;
-  return { prompt, url, verdict, code, startedAt, endedAt: Date.now() };
+  const sent = takeSentRequest(requestId);
+  const received = { status, receivedChars: text.length, code, message, sent };
+  return { prompt, url, verdict, ...received, startedAt, endedAt: Date.now() };
 }
 
-async function receiveResponse(call: ChatCall): Promise<ReceivedResponse> {
+async function receiveResponse(call: ChatCall, requestId: string): Promise<ReceivedResponse> {
   let status = 0;
   let body = '';
-  let code = '';
+  let failure: ErrorFields = { code: '', message: '' };
   try {
     const response = await request(`${call.url}/v1/chat/completions`, {
       method: 'POST',
@@ -93,6 +111,7 @@
       headers: {
         authorization: `Bearer ${getExampleToken(call.workspace)}`,
         'content-type': 'application/json',
+        'x-request-id': requestId,
         ...(call.deadlineMs === undefined ? {} : { 'x-deadline-ms': String(call.deadlineMs) }),
       },
       body: JSON.stringify({
@@ -106,38 +125,38 @@
     response.body.setEncoding('utf8');
     for await (const part of response.body) body += String(part);
   } catch (error) {
-    const cause = error as { code?: string; name?: string };
-    code = cause.code ?? cause.name ?? 'unknown';
+    const { code, name, message } = error as { code?: string; name?: string; message?: string };
+    failure = { code: code ?? name ?? 'unknown', message: message ?? '' };
   }
-  return parseResponse(status, body, code);
+  return parseResponse(status, body, failure);
 }
 
-function parseResponse(status: number, body: string, failure: string): ReceivedResponse {
+function parseResponse(status: number, body: string, failure: ErrorFields): ReceivedResponse {
   if (status !== 200) {
-    const { error } = (parseJson(body) ?? {}) as { error?: { code: string } };
-    return { status, text: '', ended: false, code: error?.code ?? failure };
+    const { error } = (parseJson(body) ?? {}) as { error?: ErrorFields };
+    return { status, text: '', ended: false, ...failure, ...error };
   }
   if (body.startsWith('{')) {
     const completion = parseJson(body) as
       { choices: [{ message: { content: string } }] } | undefined;
     const text = completion?.choices[0].message.content ?? '';
-    return { status, text, ended: completion !== undefined, code: failure };
+    return { status, text, ended: completion !== undefined, ...failure };
   }
   let text = '';
-  let code = failure;
+  let fields = failure;
   // The last line is incomplete when the connection closed in the middle of an event.
   for (const line of body.split('\n').slice(0, -1)) {
     if (!line.startsWith(EVENT_PREFIX)) continue;
     const data = line.slice(EVENT_PREFIX.length);
-    if (data === END_MARKER) return { status, text, ended: true, code };
+    if (data === END_MARKER) return { status, text, ended: true, ...fields };
     const event = parseJson(data) as {
       choices?: { delta: { content?: string } }[];
-      error?: { code: string };
+      error?: ErrorFields;
     };
-    code = event.error?.code ?? code;
+    fields = event.error ?? fields;
     text += event.choices?.[0]?.delta.content ?? '';
   }
-  return { status, text, ended: false, code };
+  return { status, text, ended: false, ...fields };
 }
 
 function parseJson(text: string): unknown {
--- a/test/support/orderCaller.ts
+++ b/test/support/orderCaller.ts
@@ -1,5 +1,7 @@
 import { Agent, request } from 'undici';
 import { getExampleToken } from './deployment.js';
+import type { SentRequest } from './sentRequests.js';
+import { createRequestId, takeSentRequest } from './sentRequests.js';
 
 const REFUSED_BACKOFF_MS = 50;
 const DEADLINE_MS = 5_000;
@@ -13,6 +15,14 @@
   readonly state: 'done' | 'refused' | 'cut';
   /** State or error code of the response, or the error of the connection. */
   readonly detail: string;
+  readonly url: string;
+  /** Reason of the state, or message of the error. */
+  readonly message: string;
+  /** 0 without a response. */
+  readonly status: number;
+  /** The PUT, or the slot request if that failed; undefined if it was not written to a connection. */
+  readonly sent: SentRequest | undefined;
+  readonly endedAt: number;
 }
 
 export interface OrderTarget {
@@ -26,6 +36,8 @@
   readonly ids?: string[];
   readonly state?: string;
   readonly code: string;
+  readonly message: string;
+  readonly sent: SentRequest | undefined;
 }
 
 /**
@@ -44,13 +56,21 @@
   const base = `${target.url}/v1/services/${target.service}/orders`;
   const slot = await sendRequest('POST', base, target, '{"count":1}', dispatcher);
   const id = slot.ids?.[0];
+  const describe = (
+    state: OrderResult['state'],
+    detail: string,
+    { message, status, sent }: OrderResponse,
+  ): OrderResult => ({
+    ...{ intent, state, detail, url: target.url, message, status, sent },
+    endedAt: Date.now(),
+  });
   // Without an id the order cannot have been sent.
-  if (id === undefined) return { intent, state: 'refused', detail: slot.code };
+  if (id === undefined) return describe('refused', slot.code, slot);
   const body = JSON.stringify({ intent });
   const reply = await sendRequest('PUT', `${base}/${id}`, target, body, dispatcher);
-  if (reply.state === 'done') return { intent, state: 'done', detail: 'done' };
+  if (reply.state === 'done') return describe('done', 'done', reply);
   const isRefused = reply.code === 'ECONNREFUSED' || reply.code === 'draining';
-  return { intent, state: isRefused ? 'refused' : 'cut', detail: reply.state ?? reply.code };
+  return describe(isRefused ? 'refused' : 'cut', reply.state ?? reply.code, reply);
 }
 
 async function sendRequest(
@@ -60,6 +80,7 @@
   body: string,
   dispatcher: Agent,
 ): Promise<OrderResponse> {
+  const requestId = createRequestId();
   try {
     const response = await request(url, {
       method,
@@ -67,6 +88,7 @@
       headers: {
         authorization: `Bearer ${getExampleToken(target.workspace)}`,
         'content-type': 'application/json',
+        'x-request-id': requestId,
         'x-deadline-ms': String(DEADLINE_MS),
       },
       body,
@@ -74,12 +96,20 @@
     const value = (await response.body.json()) as {
       ids?: string[];
       state?: string;
-      error?: { code: string };
+      reason?: string;
+      error?: { code: string; message: string };
+    };
+    return {
+      ...value,
+      status: response.statusCode,
+      code: value.error?.code ?? '',
+      message: value.error?.message ?? value.reason ?? '',
+      sent: takeSentRequest(requestId),
     };
-    return { ...value, status: response.statusCode, code: value.error?.code ?? '' };
   } catch (error) {
-    const { code, name } = error as { code?: string; name?: string };
-    return { status: 0, code: code ?? name ?? 'unknown' };
+    const { code, name, message } = error as { code?: string; name?: string; message?: string };
+    const sent = takeSentRequest(requestId);
+    return { status: 0, code: code ?? name ?? 'unknown', message: message ?? '', sent };
   }
 }
 
