fix: a pause of an entry does not count as silence of its agents

What callers saw: the shutdown proof once ended 6 chats with `answer_cut` (502, or a stream that breaks off).

Cause: the entry fails the attempts at an agent from which nothing has been read for 1 s. The check is a timer, and after a pause of the entry (SIGSTOP, a busy machine) timers run before the sockets are read. So all agents with work counted as stalled, although chunks and ends waited in their sockets. Every attempt in flight ended with "agent makes no progress"; the chats found no other agent, since all counted as stalled, and a call that may not be repeated got 502 although it had run.

Change: the entry detects its pauses, and an agent's silence and lack of progress count from the end of the last one. A pause is a gap of half the stall time-out between two checks, which run every 200 ms.

Ruled out: the drain of agents, whose own cut has the code `upstream_failed`.

Not changed: a pause longer than the heartbeat time-out (1.7 s) closes the links, and what was in flight is resumed or ends with `answer_cut`.

--- a/src/process/entry/agentPool.ts
+++ b/src/process/entry/agentPool.ts
@@ -4,6 +4,7 @@
 import { defaults } from '../../defaults.js';
 import type { ServiceId, UpstreamId } from '../../ids.js';
 import type { ConfigurationView } from '../../version/configuration/types.js';
+import type { Upstream } from '../../version/ticket/types.js';
 import type { Logger } from '../logging.js';
 import { AgentState } from './agentState.js';
 import { selectSubset } from './selectSubset.js';
@@ -32,6 +33,8 @@
   readonly logger: Logger;
   /** Whether the platform's live list reports a host as leaving. */
   readonly isLeaving?: ((host: string, now: number) => boolean) | undefined;
+  /** End of the last pause of this process. */
+  readonly computeRunningSince?: ((now: number) => number) | undefined;
   readonly onLink: (link: PeerLink) => void;
 }
 
@@ -64,7 +67,7 @@
         desiredKeys.add(key);
         const existing = this.entries.get(key);
         if (existing?.service === service) existing.state.configured = state;
-        else this.startLink(key, service, new AgentState(id, state, this.options.isLeaving));
+        else this.startLink(key, service, this.createState(id, state));
       }
     }
     for (const [key, entry] of this.entries) if (!desiredKeys.has(key)) this.retire(key, entry);
@@ -151,6 +154,11 @@
     }));
   }
 
+  private createState(id: UpstreamId, configured: Upstream): AgentState {
+    const { isLeaving, computeRunningSince } = this.options;
+    return new AgentState(id, configured, isLeaving, computeRunningSince);
+  }
+
   private startLink(key: string, service: ServiceId, state: AgentState): void {
     const entry = {
       state,
--- a/src/process/entry/agentState.ts
+++ b/src/process/entry/agentState.ts
@@ -28,6 +28,7 @@
     readonly upstream: UpstreamId,
     public configured: Upstream,
     private readonly isLeaving: (host: string, now: number) => boolean = () => false,
+    private readonly computeRunningSince: (now: number) => number = () => Number.NEGATIVE_INFINITY,
   ) {}
 
   /**
@@ -131,6 +132,9 @@
    */
   toCandidate(workspace?: WorkspaceId): Candidate {
     const { report, configured, link } = this;
+    const now = Date.now();
+    // In a pause of this process nothing is read, so its time does not count as silence of the agent.
+    const runningSince = this.computeRunningSince(now);
     return {
       upstream: this.upstream,
       availabilityZone: configured.availabilityZone,
@@ -143,11 +147,11 @@
       draining:
         this.receivedDraining ||
         (report?.draining ?? false) ||
-        this.isLeaving(configured.host, Date.now()),
+        this.isLeaving(configured.host, now),
       down: link === undefined,
       hasOwnWork: this.attempts.size > 0,
-      lastMessageAt: link?.lastReceivedAt ?? 0,
-      lastProgressAt: this.lastProgressAt,
+      lastMessageAt: Math.max(link?.lastReceivedAt ?? 0, runningSince),
+      lastProgressAt: Math.max(this.lastProgressAt, runningSince),
     };
   }
 
--- a/src/process/entry/entryDaemon.ts
+++ b/src/process/entry/entryDaemon.ts
@@ -15,6 +15,7 @@
 import { routingPolicies } from '../../request/routing/registry.js';
 import type { OperatorServer } from '../operatorServer.js';
 import { startOperatorServer } from '../operatorServer.js';
+import { PauseDetector } from '../pauseDetector.js';
 import type { EntryOptions } from '../types.js';
 import { AgentPool } from './agentPool.js';
 import { AttemptTable } from './attemptTable.js';
@@ -27,6 +28,8 @@
 const CANCEL_FLUSH_MS = 200;
 const STALL_POLL_INTERVAL_MS = 200;
 const EXPIRY_INTERVAL_MS = 10_000;
+/** A shorter gap occurs in a busy process; a longer one must not make up for most of the stall time-out. */
+const MIN_PAUSE_MS = defaults.stallTimeoutMs / 2;
 
 /**
  * Starts an entry.
@@ -62,6 +65,7 @@
   private readonly http: HttpServer;
   private readonly linkServer: LinkServer;
   private readonly stopController = new AbortController();
+  private readonly pauses = new PauseDetector(Date.now(), MIN_PAUSE_MS);
   private operatorServer: OperatorServer | undefined;
   private draining = false;
   /** Time at which the drain cancels the unfinished requests, in milliseconds. */
@@ -93,6 +97,7 @@
       self,
       logger,
       isLeaving: (host, now) => distribution?.isLeaving?.(host, now) ?? false,
+      computeRunningSince: (now) => this.pauses.computeRunningSince(now),
       onLink: (link) => {
         this.addLink(link);
       },
@@ -142,7 +147,9 @@
     }, EXPIRY_INTERVAL_MS);
     this.expiryTimer.unref();
     this.stallTimer = setInterval(() => {
-      this.attempts.failStalled(Date.now());
+      const now = Date.now();
+      this.pauses.recordTick(now);
+      this.attempts.failStalled(now);
     }, STALL_POLL_INTERVAL_MS);
     this.stallTimer.unref();
   }
--- a/src/process/pauseDetector.ts
+++ b/src/process/pauseDetector.ts
@@ -70,6 +70,17 @@
     return this.resumedAt > since;
   }
 
+  /**
+   * Computes since when the process has been running without a pause.
+   *
+   * @param now - Current time in milliseconds
+   * @returns End of the last pause, `-Infinity` without one
+   */
+  computeRunningSince(now: number): number {
+    this.checkForPause(now);
+    return this.resumedAt;
+  }
+
   private checkForPause(now: number): void {
     if (now - this.lastTickAt < this.minPauseMs) return;
     this.pausedSince = this.lastTickAt;
