fix: an entry does not take an agent for stalled between two of its heartbeats

What callers saw: a call of 20 s took 25 s, because it was run a second time at another agent; a call that may not be repeated would get 502 `answer_cut` although nothing had failed.

Cause: an attempt is failed when nothing has been read from its agent for 1,000 ms. An agent without other messages sends its load every 1,000 ms, and a ping at the first check (every 250 ms) after 800 ms, so up to 1,050 ms later. When the ping falls behind the load report, any delay of that report beyond the poll of the entry (every 200 ms) counts as a stall. A chat or another attempt on the same link hides this, so it needs a long call on a quiet link.

Change: the bound is 1,300 ms: the latest time of a ping plus one check interval for jitter. With the poll of the entry a stall is found after at most 1.5 s; the stated target is 2 s. The check of progress (1.5 s) is unchanged.

--- a/src/request/routing/eligibility.ts
+++ b/src/request/routing/eligibility.ts
@@ -8,6 +8,12 @@
   1.5 * defaults.loadReportMaxIntervalMs,
 );
 
+/**
+ * A peer without other messages sends a ping at the first check after the heartbeat interval. One more check interval allows
+ * for jitter; together with the poll of stalled attempts this is below 2 s.
+ */
+const SILENCE_TIMEOUT_MS = defaults.heartbeatIntervalMs + 2 * defaults.heartbeatCheckMs;
+
 /**
  * Finds the reason why a candidate may not receive new work.
  *
@@ -49,6 +55,6 @@
  */
 export function isStalled(candidate: Candidate, now: number): boolean {
   if (!candidate.hasOwnWork) return false;
-  if (now - candidate.lastMessageAt > defaults.stallTimeoutMs) return true;
+  if (now - candidate.lastMessageAt > SILENCE_TIMEOUT_MS) return true;
   return now - candidate.lastProgressAt > PROGRESS_TIMEOUT_MS;
 }
