--- a/bench/proofs/shutdown.ts
+++ b/bench/proofs/shutdown.ts
@@ -218,7 +218,15 @@
   await waitMs(100);
   const isLogged = entry.process.getLog().includes('second signal');
   const unanswered = results.filter(({ code }) => code !== 'draining').length;
-  return { exit_code: exitCode, stated: isLogged, requests: results.length, unanswered };
+  // Without a response in progress the entry ends before the second signal, and the check shows nothing.
+  const ends = results.map(({ status, code, message, receivedChars, startedAt, endedAt }) => ({
+    status,
+    code,
+    message,
+    receivedChars,
+    tookMs: Math.round(endedAt - startedAt),
+  }));
+  return { exit_code: exitCode, stated: isLogged, requests: results.length, unanswered, ends };
 }
 
 function pickAgent(
