refactor: tests of stopping gateways share the start of the program

Four specs started a gateway program with its store, upstreams and routes in the same way. startStoppingGateway does it once; no check has changed.

--- a/test/failures/lateRequests.spec.ts
+++ b/test/failures/lateRequests.spec.ts
@@ -1,17 +1,9 @@
 import { expect } from 'chai';
-import type { RawWorker } from '../standins/rawWorker.js';
-import { startRawWorker } from '../standins/rawWorker.js';
-import type { GatewayFixture } from '../support/gatewayFixture.js';
-import { startGatewayFixture } from '../support/gatewayFixture.js';
 import type { GatewayProgram } from '../support/gatewayProgram.js';
-import { startGatewayProgram, waitUntilProgramReady } from '../support/gatewayProgram.js';
 import { RawCaller } from '../support/rawCaller.js';
-import {
-  createStopRoutes,
-  formatTimedRequest,
-  listResponses,
-  respondByPath,
-} from '../support/stopFixture.js';
+import { formatTimedRequest, listResponses } from '../support/stopFixture.js';
+import type { StoppingGateway } from '../support/stoppingGateway.js';
+import { startStoppingGateway } from '../support/stoppingGateway.js';
 import { waitMs, waitUntil } from '../support/waiting.js';
 
 const STOP_LIMIT_MS = 6_000;
@@ -25,29 +17,19 @@
 
 describe('late requests at a stopping gateway', function () {
   this.timeout(40_000);
-  let fixture: GatewayFixture;
-  let worker: RawWorker;
+  let gateway: StoppingGateway;
   let program: GatewayProgram;
 
   beforeEach(async () => {
-    worker = await startRawWorker('i-a', (socket, request) => void respondByPath(socket, request));
-    fixture = await startGatewayFixture({ workers: 0, ownWorkers: [worker], started: 0 });
-    fixture.publishWorker(worker, { slots: 32 });
-    fixture.publishConfiguration(2, { routes: createStopRoutes(ROUTE_TIMEOUT_MS) });
-    program = await startGatewayProgram({
-      storePort: fixture.store.port,
+    gateway = await startStoppingGateway({
       stopLimitMs: STOP_LIMIT_MS,
+      routeTimeoutMs: ROUTE_TIMEOUT_MS,
     });
-    await waitUntilProgramReady(program);
-  });
-  afterEach(async () => {
-    program.child.kill('SIGKILL');
-    await fixture.close();
-    await worker.close();
+    ({ program } = gateway);
   });
+  afterEach(() => gateway.close());
 
-  const hasRun = (requestId: string): boolean =>
-    worker.requests.some((request) => request.requestId === requestId);
+  const hasRun = (requestId: string): boolean => gateway.listRuns().includes(requestId);
   /** Starts a stream whose head comes before SIGTERM, so that it cannot announce the close of its connection. */
   const startEarlyStream = async (id: string, path = '/chat/3300'): Promise<RawCaller> => {
     const caller = new RawCaller(program.url);
--- a/test/failures/stopDecisions.spec.ts
+++ b/test/failures/stopDecisions.spec.ts
@@ -1,24 +1,19 @@
 import { expect } from 'chai';
-import type { RawWorker } from '../standins/rawWorker.js';
 import { formatChunk, formatHead, startRawWorker } from '../standins/rawWorker.js';
 import { formatEvent } from '../standins/platformWorker.js';
-import type { GatewayFixture } from '../support/gatewayFixture.js';
 import { startGatewayFixture } from '../support/gatewayFixture.js';
 import type { GatewayProgram } from '../support/gatewayProgram.js';
-import {
-  startGatewayProgram,
-  waitUntilListenerClosed,
-  waitUntilProgramReady,
-} from '../support/gatewayProgram.js';
+import { waitUntilListenerClosed } from '../support/gatewayProgram.js';
 import { RawCaller } from '../support/rawCaller.js';
 import type { Responder } from '../support/stopFixture.js';
 import {
-  createStopRoutes,
   EVENT_INTERVAL_MS,
   formatTimedRequest,
   listResponses,
   respondByPath,
 } from '../support/stopFixture.js';
+import type { StoppingGateway } from '../support/stoppingGateway.js';
+import { startStoppingGateway } from '../support/stoppingGateway.js';
 import { waitMs, waitUntil } from '../support/waiting.js';
 
 const STOP_LIMIT_MS = 6_000;
@@ -35,34 +30,21 @@
 
 describe('decisions of a stopping gateway', function () {
   this.timeout(40_000);
-  let fixture: GatewayFixture;
-  let workers: RawWorker[];
+  let gateway: StoppingGateway;
   let program: GatewayProgram;
 
-  const start = async (
-    stopLimitMs: number,
-    responders: readonly Responder[] = [respondByPath],
-  ): Promise<void> => {
-    workers = await Promise.all(
-      responders.map((responder, index) =>
-        startRawWorker(`i-${index}`, (socket, request) => void responder(socket, request)),
-      ),
-    );
-    fixture = await startGatewayFixture({ workers: 0, ownWorkers: workers, started: 0 });
-    for (const worker of workers) fixture.publishWorker(worker, { slots: 32 });
-    fixture.publishConfiguration(2, { routes: createStopRoutes(ROUTE_TIMEOUT_MS) });
-    program = await startGatewayProgram({ storePort: fixture.store.port, stopLimitMs });
-    await waitUntilProgramReady(program);
+  const start = async (stopLimitMs: number, responders?: readonly Responder[]): Promise<void> => {
+    gateway = await startStoppingGateway({
+      stopLimitMs,
+      routeTimeoutMs: ROUTE_TIMEOUT_MS,
+      ...(responders === undefined ? {} : { responders }),
+    });
+    ({ program } = gateway);
   };
-  afterEach(async () => {
-    program.child.kill('SIGKILL');
-    await fixture.close();
-    for (const worker of workers) await worker.close();
-  });
+  afterEach(() => gateway.close());
 
   const countRuns = (requestId: string): number =>
-    workers.flatMap(({ requests }) => requests).filter((sent) => sent.requestId === requestId)
-      .length;
+    gateway.listRuns().filter((sent) => sent === requestId).length;
   /** Starts a stream whose head comes before SIGTERM, so that it cannot announce the close of its connection. */
   const startEarlyStream = async (id: string, path: string): Promise<RawCaller> => {
     const caller = new RawCaller(program.url);
--- a/test/failures/stopScheduling.spec.ts
+++ b/test/failures/stopScheduling.spec.ts
@@ -1,14 +1,8 @@
 import { expect } from 'chai';
-import type { RawWorker } from '../standins/rawWorker.js';
 import { startRawWorker } from '../standins/rawWorker.js';
-import type { GatewayFixture } from '../support/gatewayFixture.js';
 import { startGatewayFixture } from '../support/gatewayFixture.js';
 import type { GatewayProgram } from '../support/gatewayProgram.js';
-import {
-  startGatewayProgram,
-  waitUntilListenerClosed,
-  waitUntilProgramReady,
-} from '../support/gatewayProgram.js';
+import { waitUntilListenerClosed } from '../support/gatewayProgram.js';
 import { RawCaller } from '../support/rawCaller.js';
 import {
   createStopRoutes,
@@ -16,6 +10,8 @@
   listResponses,
   respondByPath,
 } from '../support/stopFixture.js';
+import type { StoppingGateway } from '../support/stoppingGateway.js';
+import { startStoppingGateway } from '../support/stoppingGateway.js';
 import { waitMs, waitUntil } from '../support/waiting.js';
 
 const STOP_LIMIT_MS = 6_000;
@@ -26,33 +22,21 @@
 
 describe('stopping gateway that is not scheduled, or knows few durations', function () {
   this.timeout(40_000);
-  let fixture: GatewayFixture;
-  let worker: RawWorker;
+  let gateway: StoppingGateway;
   let program: GatewayProgram;
 
-  const start = async (slots = 32, routeFields: object = {}): Promise<void> => {
-    worker = await startRawWorker('i-0', (socket, request) => void respondByPath(socket, request));
-    fixture = await startGatewayFixture({ workers: 0, ownWorkers: [worker], started: 0 });
-    fixture.publishWorker(worker, { slots });
-    const routes = createStopRoutes(ROUTE_TIMEOUT_MS).map((route) => ({
-      ...route,
-      ...routeFields,
-    }));
-    fixture.publishConfiguration(2, { routes });
-    program = await startGatewayProgram({
-      storePort: fixture.store.port,
+  const start = async (slots?: number, routeFields?: object): Promise<void> => {
+    gateway = await startStoppingGateway({
       stopLimitMs: STOP_LIMIT_MS,
+      routeTimeoutMs: ROUTE_TIMEOUT_MS,
+      ...(slots === undefined ? {} : { slots }),
+      ...(routeFields === undefined ? {} : { routeFields }),
     });
-    await waitUntilProgramReady(program);
+    ({ program } = gateway);
   };
-  afterEach(async () => {
-    program.child.kill('SIGKILL');
-    await fixture.close();
-    await worker.close();
-  });
+  afterEach(() => gateway.close());
 
-  const hasRun = (requestId: string): boolean =>
-    worker.requests.some((request) => request.requestId === requestId);
+  const hasRun = (requestId: string): boolean => gateway.listRuns().includes(requestId);
   const startCaller = async (id: string, path: string): Promise<RawCaller> => {
     const caller = new RawCaller(program.url);
     caller.send(formatTimedRequest(path, id, 'question', ROUTE_TIMEOUT_MS));
--- a/test/failures/waitingAtStop.spec.ts
+++ b/test/failures/waitingAtStop.spec.ts
@@ -1,19 +1,12 @@
 import { expect } from 'chai';
 import { request as fetchText } from 'undici';
-import type { RawWorker } from '../standins/rawWorker.js';
-import { formatHead, startRawWorker } from '../standins/rawWorker.js';
-import type { GatewayFixture } from '../support/gatewayFixture.js';
-import { startGatewayFixture } from '../support/gatewayFixture.js';
+import { formatHead } from '../standins/rawWorker.js';
 import type { GatewayProgram } from '../support/gatewayProgram.js';
-import { startGatewayProgram, waitUntilProgramReady } from '../support/gatewayProgram.js';
 import { RawCaller } from '../support/rawCaller.js';
 import type { Responder } from '../support/stopFixture.js';
-import {
-  createStopRoutes,
-  formatTimedRequest,
-  listResponses,
-  respondByPath,
-} from '../support/stopFixture.js';
+import { formatTimedRequest, listResponses, respondByPath } from '../support/stopFixture.js';
+import type { StoppingGateway } from '../support/stoppingGateway.js';
+import { startStoppingGateway } from '../support/stoppingGateway.js';
 import { waitUntil } from '../support/waiting.js';
 
 /** A payment of unknown duration has no time left before the listener closes. */
@@ -29,33 +22,20 @@
 
 describe('requests that wait at a stopping gateway', function () {
   this.timeout(40_000);
-  let fixture: GatewayFixture;
-  let workers: RawWorker[];
+  let gateway: StoppingGateway;
   let program: GatewayProgram;
 
   const start = async (responders: readonly Responder[]): Promise<void> => {
-    workers = await Promise.all(
-      responders.map((responder, index) =>
-        startRawWorker(`i-${index}`, (socket, request) => void responder(socket, request)),
-      ),
-    );
-    fixture = await startGatewayFixture({ workers: 0, ownWorkers: workers, started: 0 });
-    for (const worker of workers) fixture.publishWorker(worker, { slots: 1 });
-    fixture.publishConfiguration(2, { routes: createStopRoutes(LONG_DEADLINE_MS) });
-    program = await startGatewayProgram({
-      storePort: fixture.store.port,
+    gateway = await startStoppingGateway({
       stopLimitMs: STOP_LIMIT_MS,
+      routeTimeoutMs: LONG_DEADLINE_MS,
+      responders,
+      slots: 1,
     });
-    await waitUntilProgramReady(program);
+    ({ program } = gateway);
   };
-  afterEach(async () => {
-    program.child.kill('SIGKILL');
-    await fixture.close();
-    for (const worker of workers) await worker.close();
-  });
+  afterEach(() => gateway.close());
 
-  const listRuns = (): string[] =>
-    workers.flatMap(({ requests }) => requests).map(({ requestId }) => requestId);
   const send = (path: string, id: string): RawCaller => {
     const caller = new RawCaller(program.url);
     caller.send(formatTimedRequest(path, id, 'question', LONG_DEADLINE_MS));
@@ -85,7 +65,7 @@
   it('guards against a request that waits until the limit although it has no time to run', async () => {
     await start([respondByPath]);
     const holder = send('/pay/19000', 'holder');
-    await waitUntil('sent', () => listRuns().length === 1);
+    await waitUntil('sent', () => gateway.listRuns().length === 1);
     const waiting = send('/pay/100', 'waiting');
     const reading = new RawCaller(program.url);
     const text = formatTimedRequest('/pay/100', 'reading', 'question', LONG_DEADLINE_MS);
@@ -98,7 +78,7 @@
     expect(await listUnfinished()).to.deep.equal(['holder']);
     expect([waiting, reading].map(describeRefusal)).to.deep.equal([refused, refused]);
     expect(listResponses(holder)[0]).to.include({ status: 504, end: 'complete' });
-    expect(listRuns()).to.deep.equal(['holder']);
+    expect(gateway.listRuns()).to.deep.equal(['holder']);
   });
 
   // The same between two attempts, after an upstream has stated that it has not run the request.
@@ -109,14 +89,14 @@
     };
     await start([respond, respond]);
     const holder = send('/pay/19000', 'holder');
-    await waitUntil('sent', () => listRuns().length === 1);
+    await waitUntil('sent', () => gateway.listRuns().length === 1);
     const repeat = send('/pay/100', 'repeat');
-    await waitUntil('refused by an upstream', () => listRuns().length === 2);
+    await waitUntil('refused by an upstream', () => gateway.listRuns().length === 2);
     await waitForCounts(2, 1);
     program.child.kill('SIGTERM');
     await Promise.all([holder, repeat].map((caller) => caller.waitForEnd(CALLER_TIMEOUT_MS)));
     expect(await listUnfinished()).to.deep.equal(['holder']);
     expect(describeRefusal(repeat)).to.deep.equal(refused);
-    expect(listRuns()).to.have.members(['holder', 'repeat']);
+    expect(gateway.listRuns()).to.have.members(['holder', 'repeat']);
   });
 });
