--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -35,6 +35,8 @@
   readonly platformPorts?: ReadonlyMap<string, number>;
   /** Settings files of the daemons; by default they are written to a temporary directory. */
   readonly settings?: SettingsFiles;
+  /** Options of Node for the entries. */
+  readonly entryNodeOptions?: readonly string[];
 }
 
 /** Change ticket in the format that operators publish. */
@@ -94,7 +96,8 @@
   startDaemon(role: 'entry' | 'agent', id: string): Promise<RunningProcess> {
     const settings = this.files.byDaemon.get(id);
     if (settings === undefined) throw new Error(`no settings for daemon ${id}`);
-    return startProcess(id, this.script, [role, '--settings', settings]);
+    const nodeOptions = role === 'entry' ? this.options.entryNodeOptions : undefined;
+    return startProcess(id, this.script, [role, '--settings', settings], nodeOptions);
   }
 
   /**
--- a/test/support/gatewayProgram.ts
+++ b/test/support/gatewayProgram.ts
@@ -29,6 +29,10 @@
   readonly ports?: GatewayPorts;
   /** Ports of the links of the other gateways. */
   readonly seedPorts?: readonly number[];
+  /** Heap limit of the process; that of Node by default. */
+  readonly heapMb?: number;
+  /** Further sections of the settings file. */
+  readonly sections?: readonly string[];
 }
 
 /** The gateway program as the deployment starts it, in a process of its own. */
@@ -61,7 +65,7 @@
  * @returns The started program
  */
 export async function startGatewayProgram(options: GatewayProgramOptions): Promise<GatewayProgram> {
-  const { storePort, stopLimitMs, processId = 'gateway-1', seedPorts = [] } = options;
+  const { storePort, stopLimitMs, processId = 'gateway-1', seedPorts = [], heapMb } = options;
   const ports = options.ports ?? (await reserveGatewayPorts());
   const file = join(mkdtempSync(join(tmpdir(), 'stops-')), 'gateway.ini');
   const seeds = seedPorts.map((port) => `127.0.0.1:${port}`).join(',');
@@ -71,10 +75,12 @@
     `links=127.0.0.1:${ports.links}\nmetrics_port=${ports.metrics}`,
     `[peers]\nseeds=${seeds}\n[store]\naddress=127.0.0.1:${storePort}\n[keys]\nproof_ms=5000`,
     '[repeats]\nwindow_seconds=10\nratio=0.2\nextra=90',
+    ...(options.sections ?? []),
   ];
   writeFileSync(file, sections.join('\n'));
   const program = await buildProgram(rootDirectory, 'platform/main.ts');
-  const child = spawn(process.execPath, [program, 'gateway', file], {
+  const heap = heapMb === undefined ? [] : [`--max-old-space-size=${heapMb}`];
+  const child = spawn(process.execPath, [...heap, program, 'gateway', file], {
     cwd: rootDirectory,
     stdio: ['ignore', 'pipe', 'ignore'],
   });
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -65,6 +65,7 @@
  * @param name - Name of the process in error messages
  * @param script - Path relative to the package root; `.ts` files are compiled first
  * @param args - Program arguments
+ * @param nodeOptions - Options of Node
  * @returns The running process
  * @throws Error with the standard error output when the process exits or times out before its ready line
  */
@@ -72,9 +73,10 @@
   name: string,
   script: string,
   args: readonly string[],
+  nodeOptions: readonly string[] = [],
 ): Promise<RunningProcess> {
   const program = script.endsWith('.ts') ? await buildProgram(rootDirectory, script) : script;
-  const child = spawn(process.execPath, [program, ...args], {
+  const child = spawn(process.execPath, [...nodeOptions, program, ...args], {
     cwd: rootDirectory,
     detached: true,
     stdio: ['ignore', 'pipe', 'pipe'],
