fix: requests sent ahead on a connection are read no further than they are served

Callers saw a gateway end, or got no answer for 8 s, beside 40 connections that sent thousands of requests ahead and read no response.

Cause: the HTTP parser of Node creates a request, a response and their handling for all requests in the bytes that it is given, which is up to 64 KB in a read, and nothing stops the next read. Each has its promise, timers, place in the queue, and its response while the one before is not read. Lowering the size of a read, or closing such a connection, was ruled out: the former still parses hundreds at once, and pipelining is allowed.

The reader of a connection now passes bytes to the parser up to the end of one head or body at a time, and none while eight requests are in progress, or while responses wait for a slow caller. What is left goes back to the socket, which reads no more while it has it. An honest caller loses only time; its requests arrive when their bytes did, so its deadline stays true. The end of a connection with up to 4 KB ahead is still seen at once.

--- /dev/null
+++ b/src/connection/requestReader.ts
@@ -0,0 +1,215 @@
+import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+const HEAD_END = '\r\n\r\n';
+/**
+ * Bytes that a connection may have sent ahead before it is read no further. Up to it the end of the connection is seen, so
+ * that the work for a caller that has left ends.
+ */
+const MAX_HELD_BYTES = 4 * 1024;
+
+/** Requests in progress of all connections of a server. */
+export interface RequestCount {
+  inProgress: number;
+}
+
+/** Bounds on the requests that are in progress at the same time. */
+export interface RequestLimits {
+  readonly maxPerConnection: number;
+  /** Requests of all connections above which each connection may only have one. */
+  readonly maxTotal: number;
+}
+
+export interface ReaderOptions {
+  readonly limits: RequestLimits;
+  /** Requests in progress of all connections. */
+  readonly count: RequestCount;
+  /** Current time in milliseconds. */
+  readonly readClock: () => number;
+}
+
+/** Bytes that were received before the parser may have them. */
+interface HeldBytes {
+  readonly bytes: Buffer;
+  readonly receivedAt: number;
+}
+
+type ParseListener = (bytes: Buffer) => void;
+
+/**
+ * Passes the bytes of a connection to the HTTP parser of Node, which creates objects for all requests that it is given at
+ * once. A caller that sends requests ahead is read no further until its earlier ones have been answered.
+ */
+export class RequestReader {
+  private readonly parse: ParseListener;
+  private readonly held: HeldBytes[] = [];
+  private readonly inProgress = new Set<ServerResponse>();
+  private last: ServerResponse | undefined;
+  private heldByteCount = 0;
+  /** Bytes that are due of the last body; NaN if it comes in chunks. */
+  private bodyLeft = 0;
+  private isPassing = false;
+  private isSuspended = false;
+  private isDiscarding = false;
+  private hasPaused = false;
+  private arrivedAt: number | undefined;
+
+  /**
+   * @param socket - Accepted connection, to which Node has attached its parser
+   * @param options - Bounds on what it reads
+   */
+  constructor(
+    private readonly socket: Socket,
+    private readonly options: ReaderOptions,
+  ) {
+    const [parse] = socket.listeners('data') as ParseListener[];
+    if (parse === undefined) throw new Error('the connection has no HTTP parser');
+    this.parse = parse;
+    socket.off('data', parse);
+    socket.on('data', (bytes: Buffer) => {
+      this.receive(bytes);
+    });
+    socket.on('drain', () => {
+      this.passHeld();
+    });
+    socket.once('end', () => {
+      this.discard();
+    });
+    socket.once('close', () => {
+      options.count.inProgress -= this.inProgress.size;
+      this.inProgress.clear();
+      this.discard();
+    });
+  }
+
+  /** Bytes received that have not been passed to the parser. */
+  get heldBytes(): number {
+    return this.heldByteCount + this.socket.readableLength;
+  }
+
+  /** When the bytes were received that the parser is reading, in milliseconds; undefined unless they were held. */
+  get heldSince(): number | undefined {
+    return this.arrivedAt;
+  }
+
+  /**
+   * Counts a request as in progress until its response has been handed to the operating system.
+   *
+   * @param response - Response of the request
+   */
+  track(response: ServerResponse): void {
+    this.inProgress.add(response);
+    this.last = response;
+    this.options.count.inProgress += 1;
+    response.once('close', () => {
+      if (!this.inProgress.delete(response)) return;
+      this.options.count.inProgress -= 1;
+      this.passHeld();
+    });
+  }
+
+  /** Stops reading until `resume` is called, also within a body. */
+  suspend(): void {
+    this.isSuspended = true;
+    this.updateFlow();
+  }
+
+  resume(): void {
+    this.isSuspended = false;
+    this.passHeld();
+  }
+
+  /** Reads on without parsing; what is received is dropped. */
+  discard(): void {
+    this.isDiscarding = true;
+    this.held.length = 0;
+    this.heldByteCount = 0;
+    this.updateFlow();
+  }
+
+  private receive(bytes: Buffer): void {
+    if (this.isDiscarding) return;
+    this.held.push({ bytes, receivedAt: this.options.readClock() });
+    this.heldByteCount += bytes.length;
+    this.passHeld();
+  }
+
+  /** Passes held bytes on, each time up to the end of one head or body at most. */
+  private passHeld(): void {
+    if (this.isPassing) return;
+    this.isPassing = true;
+    for (;;) {
+      const [first] = this.held;
+      if (first === undefined || !this.mayParse()) break;
+      this.passSlice(first);
+    }
+    this.arrivedAt = undefined;
+    this.isPassing = false;
+    if (this.heldByteCount > MAX_HELD_BYTES) this.returnHeld();
+    this.updateFlow();
+  }
+
+  /** Returns bytes to the socket, which reads no more while it has them. */
+  private returnHeld(): void {
+    if (this.socket.destroyed) return;
+    const bytes = Buffer.concat(this.held.map((part) => part.bytes));
+    this.held.length = 0;
+    this.heldByteCount = 0;
+    this.pause();
+    this.socket.unshift(bytes);
+  }
+
+  private passSlice({ bytes, receivedAt }: HeldBytes): void {
+    const end = this.findSliceEnd(bytes);
+    if (end === bytes.length) this.held.shift();
+    else this.held[0] = { bytes: bytes.subarray(end), receivedAt };
+    this.heldByteCount -= end;
+    this.arrivedAt = receivedAt;
+    const { last } = this;
+    this.bodyLeft -= end;
+    this.parse(end === bytes.length ? bytes : bytes.subarray(0, end));
+    if (this.last !== last) this.bodyLeft = Number(this.last?.req.headers['content-length']);
+  }
+
+  /** Finds the end of the body with a length, or of the next head; the last chunk of a body ends like a head. */
+  private findSliceEnd(bytes: Buffer): number {
+    if (this.isInBody && this.bodyLeft > 0) return Math.min(this.bodyLeft, bytes.length);
+    const headEnd = bytes.indexOf(HEAD_END);
+    return headEnd === -1 ? bytes.length : headEnd + HEAD_END.length;
+  }
+
+  private get isInBody(): boolean {
+    return this.last?.req.complete === false;
+  }
+
+  /**
+   * Whether the parser may have more bytes. It is given none while responses wait for a slow caller, because Node pauses it
+   * then and takes further bytes for an error.
+   */
+  private mayParse(): boolean {
+    if (this.isSuspended || this.isDiscarding || this.socket.destroyed) return false;
+    if (this.isInBody) return true;
+    const { size } = this.inProgress;
+    if (size === 0) return true;
+    const { limits, count } = this.options;
+    if (size >= limits.maxPerConnection || count.inProgress >= limits.maxTotal) return false;
+    let unsentBytes = 0;
+    for (const { writableLength } of this.inProgress) unsentBytes += writableLength;
+    return !this.socket.writableNeedDrain && unsentBytes < this.socket.writableHighWaterMark;
+  }
+
+  private updateFlow(): void {
+    if (this.isSuspended) {
+      this.pause();
+      return;
+    }
+    if (!this.hasPaused || !(this.isDiscarding || this.mayParse())) return;
+    this.hasPaused = false;
+    this.socket.resume();
+  }
+
+  private pause(): void {
+    this.hasPaused = true;
+    this.socket.pause();
+  }
+}
--- a/src/defaults.ts
+++ b/src/defaults.ts
@@ -19,6 +19,10 @@
 
   maxBodyBytes: 1024 * 1024,
   maxHeaderBytes: 16 * 1024,
+  /** Requests in progress on one connection of a caller; further ones are not read until one of them has ended. */
+  maxRequestsPerConnection: 8,
+  /** Requests in progress on all connections of callers, above which a connection with one is read no further. */
+  maxPipelinedRequests: 1_000,
   /** Bounds on a response of an upstream; a larger one counts as broken. */
   maxResponseFramingBytes: 64 * 1024,
   maxResponseBodyBytes: 32 * 1024 * 1024,
--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -4,6 +4,7 @@
 import { setMaxListeners } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 import polka from 'polka';
+import { createBoundedServer, getRequestReader } from '../../connection/boundedServer.js';
 import { defaults } from '../../defaults.js';
 import type { AvailabilityZoneId, ServiceId, UpstreamId } from '../../ids.js';
 import { toId } from '../../ids.js';
@@ -214,7 +215,15 @@
       isBehindOther: (exchange) => this.callers.isBehindOther(exchange),
       tryAnnounceClose: (exchange) => this.callers.tryAnnounceClose(exchange),
     };
-    this.front = createServer({ maxHeaderSize: defaults.maxHeaderBytes });
+    const { maxRequestsPerConnection, maxPipelinedRequests } = settings.callers;
+    this.front = createBoundedServer({
+      maxHeaderSize: defaults.maxHeaderBytes,
+      requestLimits: {
+        maxPerConnection: maxRequestsPerConnection,
+        maxTotal: maxPipelinedRequests,
+      },
+      readClock: () => this.readClock(),
+    });
     this.callers = new CallerConnections(this.front, () => this.readClock());
     this.ready = createServer();
     const snapshots = new PeerSnapshots({
@@ -298,7 +307,7 @@
       .use((request: IncomingMessage, response: ServerResponse) => {
         const progress: RequestProgress = {
           requestId: '',
-          arrivedAt: this.readClock(),
+          arrivedAt: getRequestReader(request.socket).heldSince ?? this.readClock(),
           phase: 'reading',
           hasTime: () => true,
         };
--- a/src/process/settings/gatewaySettings.ts
+++ b/src/process/settings/gatewaySettings.ts
@@ -35,6 +35,7 @@
   };
   /** Longest pause that an upstream may ask for with a refusal. */
   readonly maxUpstreamPauseMs: number;
+  readonly callers: CallerLimits;
   readonly responses: ResponseLimits & {
     /** Bytes of a stream that a slow caller may leave unread before its upstream is paused. */
     readonly maxUnreadBytes: number;
@@ -43,6 +44,14 @@
   };
 }
 
+/** Bounds on what the callers of a gateway may make it hold. */
+export interface CallerLimits {
+  /** Requests in progress on one connection. */
+  readonly maxRequestsPerConnection: number;
+  /** Requests in progress on all connections, above which a connection with one is read no further. */
+  readonly maxPipelinedRequests: number;
+}
+
 /** Below it, ordinary responses would be rejected. */
 const MIN_RESPONSE_LIMIT_BYTES = 1024;
 
@@ -56,6 +65,11 @@
     .int()
     .min(MIN_RESPONSE_LIMIT_BYTES, { error: 'expected a number of bytes from 1024' })
     .default(fallback);
+const positiveCount = () =>
+  z.coerce
+    .number({ error: 'expected a whole number from 1' })
+    .int({ error: 'expected a whole number from 1' })
+    .min(1, { error: 'expected a whole number from 1' });
 const addresses = z
   .string()
   .default('')
@@ -75,6 +89,12 @@
   maxBufferedBytes: defaults.maxBufferedBytes,
 };
 
+/** Bounds of callers used unless the settings state others. */
+export const defaultCallerLimits: CallerLimits = {
+  maxRequestsPerConnection: defaults.maxRequestsPerConnection,
+  maxPipelinedRequests: defaults.maxPipelinedRequests,
+};
+
 /** Port used in the deployment files; any free port works. */
 const DEFAULT_METRICS_PORT = 9464;
 
@@ -110,6 +130,12 @@
   upstreams: z
     .object({ max_pause_seconds: number.default(defaults.maxUpstreamPauseMs / 1000) })
     .prefault({}),
+  callers: z
+    .object({
+      max_requests_per_connection: positiveCount().default(defaults.maxRequestsPerConnection),
+      max_pipelined_requests: positiveCount().default(defaults.maxPipelinedRequests),
+    })
+    .prefault({}),
   responses: z
     .object({
       max_framing_bytes: byteCount(defaults.maxResponseFramingBytes),
@@ -129,7 +155,7 @@
  */
 export function readGatewaySettings(file: string): Result<GatewaySettings, SettingsError[]> {
   return readSections(file, gatewaySchema).map(
-    ({ process, listen, peers, store, keys, repeats, upstreams, responses }) => ({
+    ({ process, listen, peers, store, keys, repeats, upstreams, callers, responses }) => ({
       processId: process.id,
       availabilityZone: process.availability_zone,
       logLevel: process.log_level,
@@ -149,6 +175,10 @@
         gateways: repeats.gateways,
       },
       maxUpstreamPauseMs: upstreams.max_pause_seconds * 1000,
+      callers: {
+        maxRequestsPerConnection: callers.max_requests_per_connection,
+        maxPipelinedRequests: callers.max_pipelined_requests,
+      },
       responses: {
         maxFramingBytes: responses.max_framing_bytes,
         maxBodyBytes: responses.max_body_bytes,
--- a/test/support/gatewayFixture.ts
+++ b/test/support/gatewayFixture.ts
@@ -3,7 +3,10 @@
 import { GatewayDaemon } from '../../src/process/gateway/gatewayDaemon.js';
 import type { HeaderCodec } from '../../src/process/gateway/types.js';
 import type { GatewaySettings } from '../../src/process/settings/gatewaySettings.js';
-import { defaultResponseLimits } from '../../src/process/settings/gatewaySettings.js';
+import {
+  defaultCallerLimits,
+  defaultResponseLimits,
+} from '../../src/process/settings/gatewaySettings.js';
 import { headerCodec } from '../../platform/headerCodec.js';
 import { engineProbe } from '../../platform/rankEngineClient.js';
 import { StoreClient } from '../../platform/storeClient.js';
@@ -151,6 +154,7 @@
       stopLimitMs: 8000,
       repeats: { windowMs: 10_000, ratio: 0.2, extra: 90, gateways: 1 },
       maxUpstreamPauseMs: 300_000,
+      callers: defaultCallerLimits,
       responses: defaultResponseLimits,
       ...options.settings,
     };
--- a/test/support/gatewayHost.ts
+++ b/test/support/gatewayHost.ts
@@ -4,7 +4,10 @@
 import { StoreClient } from '../../platform/storeClient.js';
 import { createLogger } from '../../src/process/logging.js';
 import { GatewayDaemon } from '../../src/process/gateway/gatewayDaemon.js';
-import { defaultResponseLimits } from '../../src/process/settings/gatewaySettings.js';
+import {
+  defaultCallerLimits,
+  defaultResponseLimits,
+} from '../../src/process/settings/gatewaySettings.js';
 import { reservePorts } from './ports.js';
 import { waitUntil } from './waiting.js';
 
@@ -35,6 +38,7 @@
     stopLimitMs: 8_000,
     repeats: { windowMs: 10_000, ratio: 1, extra: 10_000, gateways: 1 },
     maxUpstreamPauseMs: 300_000,
+    callers: defaultCallerLimits,
     responses: defaultResponseLimits,
   },
   {
