fix: a request without one id is refused at once, and upstreams are not blamed for it

Callers saw 503 for all requests of a service while another caller sent requests without an id.

Cause: an upstream refuses a request without an id, and the gateway recorded each such refusal as a fault of that upstream and tried the next one, until all were out of use. Passing the refusal on without recording it was ruled out: it takes a place of the service for what can never be served.

The gateway answers 400 itself, before it reads the body.

--- a/src/request/forwarding/admitRequest.ts
+++ b/src/request/forwarding/admitRequest.ts
@@ -43,12 +43,20 @@
   if (route === undefined) return Err(mayDeny ? 'no_route' : 'stale');
   const service = selectServiceByWeight(route.shares, Math.random());
   if (route.isPublic || held.configuration.workspaceByKey === undefined) {
-    return Ok({ held, route, service, workspace: undefined });
+    return checkId({ held, route, service, workspace: undefined }, metadata);
   }
   if (!configurationCache.isFresh(now)) return Err('stale');
   const workspace = configurationCache.findWorkspace(metadata.key);
   if (workspace === undefined) return Err(mayDeny ? 'unknown_key' : 'stale');
-  return Ok({ held, route, service, workspace });
+  return checkId({ held, route, service, workspace }, metadata);
+}
+
+/** Upstreams run no request without an id. */
+function checkId(
+  admitted: AdmittedRequest,
+  { requestId }: RequestMetadata,
+): Result<AdmittedRequest, GatewayErrorCode> {
+  return requestId === undefined ? Err('no_request_id') : Ok(admitted);
 }
 
 /**
--- a/src/request/forwarding/callerReply.ts
+++ b/src/request/forwarding/callerReply.ts
@@ -9,6 +9,7 @@
   stale: { status: 503, message: 'the validity of the key cannot be proved at present' },
   no_route: { status: 404, message: 'no route matches the host and path' },
   unknown_key: { status: 401, message: 'no workspace holds this key' },
+  no_request_id: { status: 400, message: 'the request needs exactly one id; it has not run' },
   body_too_large: { status: 413, message: 'the body exceeds the configured limit' },
   no_upstream: { status: 503, message: 'no upstream of the service is available' },
   overloaded: { status: 503, message: 'the service has no capacity at present' },
