--- a/src/request/forwarding/responseClose.ts
+++ b/src/connection/responseClose.ts
@@ -1,4 +1,10 @@
-import type { CallerExchange } from './types.js';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+/** Request and the response to it. */
+export interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
 
 /**
  * Observes the end of a response: all of it was handed to the operating system, or its connection was closed.
@@ -8,7 +14,7 @@
  * @param exchange - Request and response
  * @param listener - Called once
  */
-export function observeClose(exchange: CallerExchange, listener: () => void): void {
+export function observeClose(exchange: Exchange, listener: () => void): void {
   const { response } = exchange;
   const { socket } = exchange.request;
   const finish = (): void => {
@@ -33,7 +39,7 @@
  * @param exchange - Request and response
  * @param listener - Called at most once
  */
-export function observeDisconnect(exchange: CallerExchange, listener: () => void): void {
+export function observeDisconnect(exchange: Exchange, listener: () => void): void {
   const { request, response } = exchange;
   const { socket } = request;
   const finish = (): void => {
--- a/src/request/forwarding/forwardRequest.ts
+++ b/src/request/forwarding/forwardRequest.ts
@@ -11,7 +11,7 @@
 import type { FinalOutcome, Forwarding } from './forwarding.js';
 import { CONFIGURATION_RETRY_AFTER_MS } from './forwarding.js';
 import { readBody } from './readBody.js';
-import { observeDisconnect } from './responseClose.js';
+import { observeDisconnect } from '../../connection/responseClose.js';
 import { createReservationRequest } from './reservationRequest.js';
 import { releaseReservation, runOneAttempt } from './runOneAttempt.js';
 import { decideTaking } from './stopPolicy.js';
