fix: a body in small chunks takes no more memory than its content

Callers saw a gateway end: 60 connections, each with 60 KB of a body in chunks of one byte, ran it out of memory.

Cause: each chunk was kept as a buffer of its own, with some hundred bytes of heap for one byte of the body. One buffer that doubles was ruled out: it leaves as much garbage as content.

--- a/src/request/forwarding/readBody.ts
+++ b/src/request/forwarding/readBody.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
+import { BodyBuffer } from '../../connection/bodyBuffer.js';
 
 /** Why a body was not read: it is too large, its connection was closed, or the request was aborted. */
 export type BodyError = 'body_too_large' | 'caller_gone' | 'aborted';
@@ -19,25 +20,23 @@
   signal: AbortSignal,
 ): Promise<Result<Buffer | undefined, BodyError>> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const body = new BodyBuffer(Number(request.headers['content-length'] ?? Number.NaN));
     const settle = (outcome: Result<Buffer | undefined, BodyError>): void => {
       request.off('data', add).off('end', finish).off('close', leave);
       signal.removeEventListener('abort', abort);
       request.resume();
       resolve(outcome);
     };
-    const add = (chunk: Buffer): void => {
-      size += chunk.length;
-      chunks.push(chunk);
-      if (size > maxBytes) settle(Err('body_too_large'));
+    const add = (part: Buffer<ArrayBuffer>): void => {
+      body.add(part);
+      if (body.size > maxBytes) settle(Err('body_too_large'));
     };
     const finish = (): void => {
       const hasBody =
-        size > 0 ||
+        body.size > 0 ||
         request.headers['content-length'] !== undefined ||
         request.headers['transfer-encoding'] !== undefined;
-      settle(Ok(hasBody ? Buffer.concat(chunks) : undefined));
+      settle(Ok(hasBody ? body.take() : undefined));
     };
     // Without an end before it, the connection closed within the body.
     const leave = (): void => {
