fix: unfinished bodies of all callers share a bounded memory, and end at their time limit

Callers saw a gateway exceed the memory of its host: 250 bodies that stopped one byte short of the limit took 348 MB, and stayed for as long as they liked.

Cause: only the size of each body was bounded, not that of all together, and a request had no time limit until its body was complete.

An eighth of the memory of the host (host.memory_mb, callers.max_held_bytes) is for bodies beyond 16 KB each, so small requests are never affected. While it is used up, larger bodies are read no further: flow control costs an honest caller time only. If others wait, bodies that have not moved for a second are refused with 503 (not run), and far beyond the limit the one that has not moved for longest at once. The next memory goes to the workspace that holds least. The time limit of a request counts while its body is read, which ends with 408. While a gateway waits for its first configuration it leaves bodies unread. A lower limit for each body was ruled out: the operator sets it.

--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -4,6 +4,7 @@
 import { setMaxListeners } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 import polka from 'polka';
+import { CallerMemory } from '../../connection/callerMemory.js';
 import { createBoundedServer, getRequestReader } from '../../connection/boundedServer.js';
 import { defaults } from '../../defaults.js';
 import type { AvailabilityZoneId, ServiceId, UpstreamId } from '../../ids.js';
@@ -100,6 +101,7 @@
     configuration: new PollTimer(this.stopController.signal),
     upstreams: new PollTimer(this.stopController.signal),
   };
+  private readonly callerMemory: CallerMemory;
   private readonly context: ForwardingContext;
   private readonly incarnation = randomUUID();
   private metricsServer: Server | undefined;
@@ -190,6 +192,14 @@
         this.peers.broadcast(message, peerFeatures.groups);
       },
     });
+    this.callerMemory = new CallerMemory(
+      settings.callers.maxHeldBytes,
+      ({ kind, group, request }, bytes) => {
+        this.metrics.addCount(`caller_memory_reclaimed_${kind}`);
+        const { requestId = '' } = codec.decodeRequest(request?.rawHeaders ?? []);
+        logger.info({ requestId, kind, workspace: group, bytes }, 'memory of a caller reclaimed');
+      },
+    );
     this.context = {
       configurationCache: this.configurationCache,
       directory: this.directory,
@@ -214,6 +224,7 @@
       durations: new RequestDurations(),
       isBehindOther: (exchange) => this.callers.isBehindOther(exchange),
       tryAnnounceClose: (exchange) => this.callers.tryAnnounceClose(exchange),
+      callerMemory: this.callerMemory,
     };
     const { maxRequestsPerConnection, maxPipelinedRequests } = settings.callers;
     this.front = createBoundedServer({
@@ -305,14 +316,15 @@
     const { settings, dependencies } = this;
     polka({ server: this.front })
       .use((request: IncomingMessage, response: ServerResponse) => {
+        const reader = getRequestReader(request.socket);
         const progress: RequestProgress = {
           requestId: '',
-          arrivedAt: getRequestReader(request.socket).heldSince ?? this.readClock(),
+          arrivedAt: reader.heldSince ?? this.readClock(),
           phase: 'reading',
           hasTime: () => true,
         };
         const controller = new AbortController();
-        const exchange = { request, response, progress, controller };
+        const exchange = { request, response, reader, progress, controller };
         if (!this.callers.add(exchange)) {
           // Unread bytes would make the kernel reset the connection when it is closed.
           request.resume();
@@ -380,6 +392,7 @@
       this.pauses.recordTick(this.readClock());
       this.rateLimits.advance(this.readClock());
       this.dispatchAll();
+      this.callerMemory.advance(this.readClock());
       this.groups.advance(this.readClock());
       this.observeStart();
     }, DISPATCH_INTERVAL_MS);
@@ -433,6 +446,7 @@
       isReady: this.isReady(),
       isDraining: this.gracefulStop.isDraining,
       active: this.callers.countUnfinished(),
+      callerMemory: this.callerMemory.describe(),
       configurationVersion: this.configurationCache.version,
       proofAgeMs: this.configurationCache.computeAge(now),
       storeEra: this.storeEra.current,
--- a/src/process/settings/gatewaySettings.ts
+++ b/src/process/settings/gatewaySettings.ts
@@ -50,6 +50,8 @@
   readonly maxRequestsPerConnection: number;
   /** Requests in progress on all connections, above which a connection with one is read no further. */
   readonly maxPipelinedRequests: number;
+  /** Bytes of all request bodies and unread responses, beyond 16 KB each. */
+  readonly maxHeldBytes: number;
 }
 
 /** Below it, ordinary responses would be rejected. */
@@ -59,12 +61,11 @@
   .string()
   .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, { error: 'expected an address such as 10.0.0.1:8080' });
 const number = z.coerce.number({ error: 'expected a number' }).nonnegative();
-const byteCount = (fallback: number) =>
+const byteCount = () =>
   z.coerce
     .number({ error: 'expected a number of bytes from 1024' })
     .int()
-    .min(MIN_RESPONSE_LIMIT_BYTES, { error: 'expected a number of bytes from 1024' })
-    .default(fallback);
+    .min(MIN_RESPONSE_LIMIT_BYTES, { error: 'expected a number of bytes from 1024' });
 const positiveCount = () =>
   z.coerce
     .number({ error: 'expected a whole number from 1' })
@@ -89,10 +90,19 @@
   maxBufferedBytes: defaults.maxBufferedBytes,
 };
 
+/** Share of the memory of the host for bodies and unread responses. */
+const HELD_MEMORY_SHARE = 1 / 8;
+const BYTES_PER_MB = 1024 * 1024;
+
+function computeMaxHeldBytes(memoryMb: number): number {
+  return Math.floor(memoryMb * BYTES_PER_MB * HELD_MEMORY_SHARE);
+}
+
 /** Bounds of callers used unless the settings state others. */
 export const defaultCallerLimits: CallerLimits = {
   maxRequestsPerConnection: defaults.maxRequestsPerConnection,
   maxPipelinedRequests: defaults.maxPipelinedRequests,
+  maxHeldBytes: computeMaxHeldBytes(defaults.hostMemoryMb),
 };
 
 /** Port used in the deployment files; any free port works. */
@@ -130,19 +140,25 @@
   upstreams: z
     .object({ max_pause_seconds: number.default(defaults.maxUpstreamPauseMs / 1000) })
     .prefault({}),
+  host: z
+    .object({
+      memory_mb: positiveCount().default(defaults.hostMemoryMb),
+    })
+    .prefault({}),
   callers: z
     .object({
       max_requests_per_connection: positiveCount().default(defaults.maxRequestsPerConnection),
       max_pipelined_requests: positiveCount().default(defaults.maxPipelinedRequests),
+      max_held_bytes: byteCount().optional(),
     })
     .prefault({}),
   responses: z
     .object({
-      max_framing_bytes: byteCount(defaults.maxResponseFramingBytes),
-      max_body_bytes: byteCount(defaults.maxResponseBodyBytes),
-      max_event_bytes: byteCount(defaults.maxEventBytes),
-      max_unread_bytes: byteCount(defaults.maxUnreadBytes),
-      max_buffered_bytes: byteCount(defaults.maxBufferedBytes),
+      max_framing_bytes: byteCount().default(defaults.maxResponseFramingBytes),
+      max_body_bytes: byteCount().default(defaults.maxResponseBodyBytes),
+      max_event_bytes: byteCount().default(defaults.maxEventBytes),
+      max_unread_bytes: byteCount().default(defaults.maxUnreadBytes),
+      max_buffered_bytes: byteCount().default(defaults.maxBufferedBytes),
     })
     .prefault({}),
 });
@@ -155,7 +171,7 @@
  */
 export function readGatewaySettings(file: string): Result<GatewaySettings, SettingsError[]> {
   return readSections(file, gatewaySchema).map(
-    ({ process, listen, peers, store, keys, repeats, upstreams, callers, responses }) => ({
+    ({ process, listen, peers, store, keys, repeats, upstreams, host, callers, responses }) => ({
       processId: process.id,
       availabilityZone: process.availability_zone,
       logLevel: process.log_level,
@@ -178,6 +194,7 @@
       callers: {
         maxRequestsPerConnection: callers.max_requests_per_connection,
         maxPipelinedRequests: callers.max_pipelined_requests,
+        maxHeldBytes: callers.max_held_bytes ?? computeMaxHeldBytes(host.memory_mb),
       },
       responses: {
         maxFramingBytes: responses.max_framing_bytes,
--- a/src/request/forwarding/callerReply.ts
+++ b/src/request/forwarding/callerReply.ts
@@ -11,6 +11,11 @@
   unknown_key: { status: 401, message: 'no workspace holds this key' },
   no_request_id: { status: 400, message: 'the request needs exactly one id; it has not run' },
   body_too_large: { status: 413, message: 'the body exceeds the configured limit' },
+  body_timeout: {
+    status: 408,
+    message: 'the body did not come in the time of the request, which has not run',
+  },
+  no_memory: { status: 503, message: 'no memory is left for the body; the request has not run' },
   no_upstream: { status: 503, message: 'no upstream of the service is available' },
   overloaded: { status: 503, message: 'the service has no capacity at present' },
   not_run: { status: 503, message: 'the upstreams refused the request; it has not run' },
--- a/src/request/forwarding/forwardRequest.ts
+++ b/src/request/forwarding/forwardRequest.ts
@@ -1,34 +1,36 @@
 import { createHash } from 'node:crypto';
 import { setImmediate as waitForTurn } from 'node:timers/promises';
+import type { Result } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
+import type { BodyFailure, ReceivedBody } from '../../connection/receiveBody.js';
+import { receiveBody } from '../../connection/receiveBody.js';
 import type { Fingerprint } from '../../ids.js';
 import { toId } from '../../ids.js';
 import type { Refusal } from '../admission/types.js';
 import type { AdmittedRequest } from './admitRequest.js';
 import { admitRequest } from './admitRequest.js';
 import { attemptHandlers, endAborted, endExhausted, endWithError } from './attemptHandlers.js';
+import type { GatewayErrorCode } from './callerReply.js';
 import { CallerReply } from './callerReply.js';
 import { logOutcome, logRefusal } from './forwardLog.js';
 import type { FinalOutcome, Forwarding } from './forwarding.js';
 import { CONFIGURATION_RETRY_AFTER_MS } from './forwarding.js';
-import { readBody } from './readBody.js';
 import { observeDisconnect } from '../../connection/responseClose.js';
 import { createReservationRequest } from './reservationRequest.js';
 import { releaseReservation, runOneAttempt } from './runOneAttempt.js';
 import { decideTaking } from './stopPolicy.js';
 import { describeStop, findStopRefusal, hasTimeToSend } from './stopRefusal.js';
-import type { CallerExchange, ForwardingContext } from './types.js';
+import type { AbortReason, CallerExchange, ForwardingContext } from './types.js';
 
 /** The time limit is shortened by this margin, so that the final response arrives in time. */
 const RESPONSE_MARGIN_MS = 20;
 /** Time in which a request shows whether it crashes its upstream. */
 const TRIAL_RETRY_AFTER_MS = 1_000;
 
-/** Outcome of a request whose body was not read; only the stop of the process aborts a request before it is sent. */
-const bodyErrors = {
-  body_too_large: 'body_too_large',
-  caller_gone: 'caller_gone',
-  aborted: 'draining',
-} as const;
+/** Time after which memory for a body is expected. */
+const MEMORY_RETRY_AFTER_MS = 1_000;
+
+type BodyRefusal = 'body_too_large' | 'body_timeout' | 'no_memory' | 'draining' | 'caller_gone';
 
 /**
  * Forwards one caller's request, from admission to the final response.
@@ -45,21 +47,22 @@
   const metadata = context.codec.decodeRequest(request.rawHeaders);
   progress.requestId = metadata.requestId ?? '';
   const reply = createReply(context, exchange, metadata.requestId);
-  if (!context.isConfigured()) await context.waitUntilConfigured(CONFIGURATION_RETRY_AFTER_MS);
+  const refuse = (code: GatewayErrorCode, retryAfterMs?: number): void => {
+    request.resume();
+    reply.sendGatewayError(code, retryAfterMs);
+    logRefusal(context, exchange, metadata, code);
+  };
+  if (!context.isConfigured()) await waitForConfiguration(context, exchange);
   const url = request.url ?? '/';
   const now = context.readClock();
   const admitted = admitRequest(context, request.headers.host ?? '', url, metadata, now);
   if (admitted.isErr()) {
-    request.resume();
     const code = admitted.error;
-    reply.sendGatewayError(
-      code,
-      code === 'not_ready' || code === 'stale' ? CONFIGURATION_RETRY_AFTER_MS : undefined,
-    );
-    logRefusal(context, exchange, metadata, code);
+    const isUnknown = code === 'not_ready' || code === 'stale';
+    refuse(code, isUnknown ? CONFIGURATION_RETRY_AFTER_MS : undefined);
     return;
   }
-  const { route, held } = admitted.value;
+  const { route } = admitted.value;
   const timeLimitMs =
     Math.min(route.timeoutMs, metadata.deadlineMs ?? Infinity) - RESPONSE_MARGIN_MS;
   const deadlineAt = arrivedAt + timeLimitMs;
@@ -67,27 +70,29 @@
     decideTaking(describeStop(context, exchange, route, deadlineAt, now));
   const refuseAtStop = (): boolean => {
     if (hasTimeToTake(context.readClock())) return false;
-    request.resume();
-    reply.sendGatewayError('draining', context.stop.computeReturningMs(context.readClock()));
-    logRefusal(context, exchange, metadata, 'draining');
+    refuse('draining', context.stop.computeReturningMs(context.readClock()));
     return true;
   };
   if (refuseAtStop()) return;
   progress.hasTime = hasTimeToTake;
-  const body = await readBody(request, held.configuration.limits.maxBodyBytes, controller.signal);
-  if (body.isErr()) {
-    const code = bodyErrors[body.error];
-    const retryAfterMs =
-      code === 'draining' ? context.stop.computeReturningMs(context.readClock()) : undefined;
-    if (code !== 'caller_gone') reply.sendGatewayError(code, retryAfterMs);
-    logRefusal(context, exchange, metadata, code);
-    return;
-  }
-  // A body that came slowly may have taken the time that was left.
-  if (refuseAtStop()) return;
   const timer = setTimeout(() => {
     controller.abort('time_limit');
   }, deadlineAt - context.readClock());
+  const received = await receiveRequestBody(context, exchange, admitted.value);
+  if (received.isErr()) {
+    clearTimeout(timer);
+    const code = received.error;
+    if (code === 'caller_gone') logRefusal(context, exchange, metadata, code);
+    else refuse(code, computeBodyReturn(context, code));
+    return;
+  }
+  const { bytes: body, release } = received.value;
+  // A body that came slowly may have taken the time that was left.
+  if (refuseAtStop()) {
+    clearTimeout(timer);
+    release();
+    return;
+  }
   observeDisconnect(exchange, () => {
     controller.abort('caller_gone');
   });
@@ -97,9 +102,9 @@
     reply,
     metadata,
     admitted: admitted.value,
-    body: body.value,
+    body,
     keys: {
-      request: hashRequest(admitted.value, url, body.value),
+      request: hashRequest(admitted.value, url, body),
       parts: metadata.promptParts,
     },
     arrivedAt,
@@ -136,9 +141,51 @@
     removeRunning();
     unregister();
     clearTimeout(timer);
+    release();
   }
 }
 
+/** Waits for the first configuration, and leaves the body of the request unread meanwhile. */
+async function waitForConfiguration(
+  context: ForwardingContext,
+  { reader }: CallerExchange,
+): Promise<void> {
+  reader.suspend();
+  await context.waitUntilConfigured(CONFIGURATION_RETRY_AFTER_MS);
+  reader.resume();
+}
+
+async function receiveRequestBody(
+  context: ForwardingContext,
+  { request, reader, controller }: CallerExchange,
+  { held, workspace }: AdmittedRequest,
+): Promise<Result<ReceivedBody, BodyRefusal>> {
+  const { signal } = controller;
+  const received = await receiveBody(request, {
+    maxBytes: held.configuration.limits.maxBodyBytes,
+    memory: context.callerMemory,
+    group: workspace?.id ?? '',
+    reader,
+    signal,
+    readClock: () => context.readClock(),
+  });
+  if (received.isOk()) return Ok(received.value);
+  return Err(bodyRefusals[received.error](signal.reason as AbortReason));
+}
+
+/** Outcome of a request whose body was not received; nothing of it has been sent. */
+const bodyRefusals: Readonly<Record<BodyFailure, (reason: AbortReason) => BodyRefusal>> = {
+  too_large: () => 'body_too_large',
+  closed: () => 'caller_gone',
+  evicted: () => 'no_memory',
+  aborted: (reason) => (reason === 'time_limit' ? 'body_timeout' : 'draining'),
+};
+
+function computeBodyReturn(context: ForwardingContext, code: BodyRefusal): number | undefined {
+  if (code === 'draining') return context.stop.computeReturningMs(context.readClock());
+  return code === 'no_memory' ? MEMORY_RETRY_AFTER_MS : undefined;
+}
+
 /**
  * Ends a request whose handling threw an error. Other requests are not affected.
  *
--- a/src/request/forwarding/types.ts
+++ b/src/request/forwarding/types.ts
@@ -5,6 +5,8 @@
 import type { GracefulStop } from '../../process/gateway/gracefulStop.js';
 import type { UpstreamDirectory } from '../../process/gateway/upstreamDirectory.js';
 import type { ResponseHead, HeaderCodec } from '../../process/gateway/types.js';
+import type { CallerMemory } from '../../connection/callerMemory.js';
+import type { RequestReader } from '../../connection/requestReader.js';
 import type { ServiceId } from '../../ids.js';
 import type { UpstreamStatements } from '../admission/upstreamStatements.js';
 import type { UpstreamBalancer } from '../admission/upstreamBalancer.js';
@@ -62,6 +64,8 @@
   isBehindOther(exchange: CallerExchange): boolean;
   /** Decides whether the response of an exchange announces the close of its connection. */
   tryAnnounceClose(exchange: CallerExchange): boolean;
+  /** Memory that the callers of this process share. */
+  readonly callerMemory: CallerMemory;
 }
 
 /** How far the gateway has come with a request. */
@@ -91,6 +95,8 @@
 export interface CallerExchange {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
+  /** Reads the connection of the request. */
+  readonly reader: Pick<RequestReader, 'suspend' | 'resume'>;
   readonly progress: RequestProgress;
   /** Aborts the request with an `AbortReason`. */
   readonly controller: AbortController;
