fix: the rest of a refused body is read within a bound, then its connection is closed

Callers saw connections that stayed open, and a gateway that went on reading: a body over the limit was answered with 413 and read to its end, whatever came, and so were bodies of requests without a key or with an unknown route, and those that had reached their time limit.

Cause: a refusal before the end of the body resumed the request, which discards what comes without a bound on bytes or time.

Up to 64 KB of the rest are discarded within a second, so that a small body does not cost its caller the connection. A longer one is read no further: the connection is closed after the responses that are due, as at a stop, so that the caller can read them; the response announces the close if the length is known.

--- a/src/connection/callerConnection.ts
+++ b/src/connection/callerConnection.ts
@@ -1,9 +1,15 @@
+import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import type { RequestReader } from './requestReader.js';
 
 /** A closed connection is read until nothing has come for this long, unless the caller closes it as well. */
 const LINGER_MS = 1_000;
 /** Longest time for which a closed connection is read. */
 const MAX_LINGER_MS = 5_000;
+/** Bytes of a refused body that are read, so that its connection can be kept. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+/** Time in which the rest of a refused body has to come. */
+const DISCARD_MS = 1_000;
 
 /** Connection of a caller, with the exchanges on it whose response is not yet handed to the operating system. */
 export class CallerConnection<Exchange> {
@@ -13,14 +19,18 @@
   private hasClosed = false;
   /** Bytes read by the time of `idleSince`; more are the beginning of another request. */
   private knownBytesRead = 0;
+  /** Whether it is closed once the responses that are due have been written. */
+  private isEnding = false;
 
   /**
    * @param socket - Accepted connection
    * @param idleSince - When it was accepted, in milliseconds
+   * @param reader - Reader of its requests
    */
   constructor(
     private readonly socket: Socket,
     private idleSince: number,
+    private readonly reader?: Pick<RequestReader, 'discard'>,
   ) {
     // Node calls this after a response that announces the close. It would close the socket at once, and bytes that the
     // caller still sends would make the kernel reset the connection and discard what the caller has not received.
@@ -34,6 +44,11 @@
     return this.hasAnnouncedClose;
   }
 
+  /** Whether the next response should announce the close, because the rest of a refused body is not read. */
+  get hasUnreadBody(): boolean {
+    return this.isEnding;
+  }
+
   get unfinishedCount(): number {
     return this.unfinished.size;
   }
@@ -56,6 +71,35 @@
     this.unfinished.delete(exchange);
     this.idleSince = now;
     this.knownBytesRead = this.socket.bytesRead;
+    if (this.isEnding && this.unfinished.size === 0) this.close();
+  }
+
+  /**
+   * Discards the rest of a body that is refused. The connection is kept if that is short, and closed otherwise after the
+   * responses that are due.
+   *
+   * @param request - Request whose body is not wanted
+   */
+  discardBody(request: IncomingMessage): void {
+    if (request.complete) return;
+    request.resume();
+    const { bytesRead } = this.socket;
+    if (Number(request.headers['content-length']) > MAX_DISCARDED_BYTES) {
+      this.endAfterResponses();
+      return;
+    }
+    const timer = setTimeout(() => {
+      this.endAfterResponses();
+    }, DISCARD_MS);
+    request.on('data', () => {
+      if (this.socket.bytesRead - bytesRead > MAX_DISCARDED_BYTES) this.endAfterResponses();
+    });
+    const stopTimer = (): void => {
+      clearTimeout(timer);
+      this.socket.off('close', stopTimer);
+    };
+    request.once('end', stopTimer);
+    this.socket.once('close', stopTimer);
   }
 
   /**
@@ -90,6 +134,7 @@
     this.hasAnnouncedClose = true;
     if (this.hasClosed) return;
     this.hasClosed = true;
+    this.reader?.discard();
     this.socket.end(lastBytes);
     let lingeredMs = 0;
     let { bytesRead } = this.socket;
@@ -119,4 +164,13 @@
     this.hasAnnouncedClose = true;
     return true;
   }
+
+  /** Reads no more requests, and closes the connection once all responses have been handed to the operating system. */
+  private endAfterResponses(): void {
+    if (this.isEnding) return;
+    this.isEnding = true;
+    this.hasAnnouncedClose = true;
+    this.reader?.discard();
+    if (this.unfinished.size === 0) this.close();
+  }
 }
--- a/src/connection/connectionTable.ts
+++ b/src/connection/connectionTable.ts
@@ -1,6 +1,7 @@
 import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
 import { Server as NetServer } from 'node:net';
+import { getRequestReader } from './boundedServer.js';
 import { CallerConnection } from './callerConnection.js';
 import type { Exchange } from './responseClose.js';
 import { observeClose } from './responseClose.js';
@@ -23,7 +24,8 @@
     const { server, readClock } = options;
     server.on('connection', (socket: Socket) => {
       this.accepted += 1;
-      this.connections.set(socket, new CallerConnection(socket, readClock()));
+      const reader = getRequestReader(socket);
+      this.connections.set(socket, new CallerConnection(socket, readClock(), reader));
       socket.once('close', () => this.connections.delete(socket));
     });
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -64,6 +66,24 @@
     return count;
   }
 
+  /**
+   * Discards the rest of a body that is refused, and closes its connection if that is long.
+   *
+   * @param exchange - Exchange that is about to be refused
+   */
+  discardBody({ request }: Kind): void {
+    this.connections.get(request.socket)?.discardBody(request);
+  }
+
+  /**
+   * Checks whether a connection ends because the rest of a refused body is not read.
+   *
+   * @param exchange - Exchange whose head is about to be written
+   */
+  hasUnreadBody({ request }: Kind): boolean {
+    return this.connections.get(request.socket)?.hasUnreadBody ?? false;
+  }
+
   /**
    * Decides whether a response may announce the close of its connection.
    *
--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -224,6 +224,10 @@
       durations: new RequestDurations(),
       isBehindOther: (exchange) => this.callers.isBehindOther(exchange),
       tryAnnounceClose: (exchange) => this.callers.tryAnnounceClose(exchange),
+      discardBody: (exchange) => {
+        this.callers.discardBody(exchange);
+      },
+      hasUnreadBody: (exchange) => this.callers.hasUnreadBody(exchange),
       callerMemory: this.callerMemory,
     };
     const { maxRequestsPerConnection, maxPipelinedRequests } = settings.callers;
--- a/src/request/forwarding/forwardRequest.ts
+++ b/src/request/forwarding/forwardRequest.ts
@@ -48,7 +48,7 @@
   progress.requestId = metadata.requestId ?? '';
   const reply = createReply(context, exchange, metadata.requestId);
   const refuse = (code: GatewayErrorCode, retryAfterMs?: number): void => {
-    request.resume();
+    context.discardBody(exchange);
     reply.sendGatewayError(code, retryAfterMs);
     logRefusal(context, exchange, metadata, code);
   };
@@ -219,7 +219,8 @@
   const { codec, maxUnreadBytes, responseLimits, responseBuffers: buffers } = context;
   const limits = { maxUnreadBytes, maxBodyBytes: responseLimits.maxBodyBytes, buffers };
   const announcesClose = (): boolean =>
-    context.stop.isDraining && context.tryAnnounceClose(exchange);
+    (context.stop.isDraining || context.hasUnreadBody(exchange)) &&
+    context.tryAnnounceClose(exchange);
   return new CallerReply(exchange.response, codec, requestId, announcesClose, limits);
 }
 
--- a/src/request/forwarding/types.ts
+++ b/src/request/forwarding/types.ts
@@ -64,6 +64,10 @@
   isBehindOther(exchange: CallerExchange): boolean;
   /** Decides whether the response of an exchange announces the close of its connection. */
   tryAnnounceClose(exchange: CallerExchange): boolean;
+  /** Discards the rest of a body that is refused. */
+  discardBody(exchange: CallerExchange): void;
+  /** Whether the connection of an exchange ends because the rest of a refused body is not read. */
+  hasUnreadBody(exchange: CallerExchange): boolean;
   /** Memory that the callers of this process share. */
   readonly callerMemory: CallerMemory;
 }
