fix: heads that are late are closed at their time limit

Callers saw connections with an unfinished head that stayed open for up to 35 s, although the operator allows 5 s (headerTimeoutMs).

Cause: Node checks the time of heads each 30 s unless told otherwise.

The check runs each 500 ms. Crowds of 300 heads of 15 KB, and of 60 heads that come a byte at a time, with a limit of 1 s: before, all open after 20 s; after, closed.

--- a/src/connection/boundedServer.ts
+++ b/src/connection/boundedServer.ts
@@ -4,6 +4,9 @@
 import type { ReaderOptions, RequestLimits } from './requestReader.js';
 import { RequestReader } from './requestReader.js';
 
+/** Interval of the checks for heads that are late; that of Node is 30 s by default. */
+const CONNECTIONS_CHECK_MS = 500;
+
 export interface BoundedServerOptions extends ServerOptions {
   readonly requestLimits: RequestLimits;
   /** Current time in milliseconds. */
@@ -30,6 +33,7 @@
   const { requestLimits: limits, readClock, ...serverOptions } = options;
   const readerOptions: ReaderOptions = { limits, count: { inProgress: 0 }, readClock };
   const server = createServer({
+    connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
     ...serverOptions,
     ServerResponse: TrackedResponse,
   });
