fix: the connections of callers are bounded, and the least used one goes first

Callers saw a gateway use a descriptor for each connection that anybody opened, up to the limit of the process, where upstreams and other gateways are no longer reached.

Cause: nothing bounded the connections.

callers.max_connections follows from the descriptors and the memory of the host (host.descriptors, host.memory_mb); a setting above what the host has is an error at the start. Beyond the bound, the connection that serves its caller least is closed: one that is closing, then one that has not served a request, then an idle one, then one whose response is not read, each time the one without use for longest. So a new caller who sends a request is served, and no request in work ends. To refuse new connections was ruled out: a crowd would keep everybody out. The dump shows connections by use, caller_connections_closed_USE counts.

--- a/src/connection/callerConnection.ts
+++ b/src/connection/callerConnection.ts
@@ -16,7 +16,9 @@
   /** In the order of their arrival. */
   private readonly unfinished = new Set<Exchange>();
   private hasAnnouncedClose = false;
-  private hasClosed = false;
+  private isClosed = false;
+  private servedCount = 0;
+  private lastUsedAt: number;
   /** Bytes read by the time of `idleSince`; more are the beginning of another request. */
   private knownBytesRead = 0;
   /** Whether it is closed once the responses that are due have been written. */
@@ -32,6 +34,7 @@
     private idleSince: number,
     private readonly reader?: Pick<RequestReader, 'discard'>,
   ) {
+    this.lastUsedAt = idleSince;
     // Node calls this after a response that announces the close. It would close the socket at once, and bytes that the
     // caller still sends would make the kernel reset the connection and discard what the caller has not received.
     socket.destroySoon = () => {
@@ -49,6 +52,21 @@
     return this.isEnding;
   }
 
+  /** Whether its sending side has been closed. */
+  get hasClosed(): boolean {
+    return this.isClosed;
+  }
+
+  /** Whether a response has been handed to the operating system. */
+  get hasServed(): boolean {
+    return this.servedCount > 0;
+  }
+
+  /** When its last response was handed to the operating system, or else when it was accepted, in milliseconds. */
+  get usedAt(): number {
+    return this.lastUsedAt;
+  }
+
   get unfinishedCount(): number {
     return this.unfinished.size;
   }
@@ -69,6 +87,8 @@
    */
   remove(exchange: Exchange, now: number): void {
     this.unfinished.delete(exchange);
+    this.servedCount += 1;
+    this.lastUsedAt = now;
     this.idleSince = now;
     this.knownBytesRead = this.socket.bytesRead;
     if (this.isEnding && this.unfinished.size === 0) this.close();
@@ -132,8 +152,8 @@
    */
   close(lastBytes = ''): void {
     this.hasAnnouncedClose = true;
-    if (this.hasClosed) return;
-    this.hasClosed = true;
+    if (this.isClosed) return;
+    this.isClosed = true;
     this.reader?.discard();
     this.socket.end(lastBytes);
     let lingeredMs = 0;
--- a/src/defaults.ts
+++ b/src/defaults.ts
@@ -19,8 +19,9 @@
 
   maxBodyBytes: 1024 * 1024,
   maxHeaderBytes: 16 * 1024,
-  /** Memory of a host whose settings state none. */
+  /** Memory and descriptors of a host whose settings state none. */
   hostMemoryMb: 250,
+  hostDescriptors: 4_100,
   /** Requests in progress on one connection of a caller; further ones are not read until one of them has ended. */
   maxRequestsPerConnection: 8,
   /** Requests in progress on all connections of callers, above which a connection with one is read no further. */
--- a/src/process/gateway/callerConnections.ts
+++ b/src/process/gateway/callerConnections.ts
@@ -1,4 +1,4 @@
-import type { Server } from 'node:http';
+import type { ConnectionTableOptions, ExchangeStage } from '../../connection/connectionTable.js';
 import { ConnectionTable } from '../../connection/connectionTable.js';
 import type {
   CallerExchange,
@@ -22,16 +22,30 @@
 /** Phases of requests that a stop may still refuse, unless an earlier attempt may have run them. */
 const pendingPhases: ReadonlySet<RequestPhase> = new Set(['reading', 'waiting']);
 
+const stages: Readonly<Record<RequestPhase, ExchangeStage>> = {
+  reading: 'reading',
+  waiting: 'working',
+  sent: 'working',
+  responding: 'working',
+  delivering: 'delivering',
+};
+
+type CallerOptions = Omit<
+  ConnectionTableOptions<CallerExchange>,
+  'formatRejection' | 'getStage' | 'readClock'
+>;
+
 /** Tracks the connections of callers of a gateway, and what a stop does with their requests. */
 export class CallerConnections extends ConnectionTable<CallerExchange> {
   /**
-   * @param server - Server that accepts the connections
+   * @param options - Server and bound on its connections
    * @param readClock - Current time in milliseconds
    */
-  constructor(server: Server, readClock: () => number) {
+  constructor(options: CallerOptions, readClock: () => number) {
     super({
-      server,
+      ...options,
       readClock,
+      getStage: ({ progress }) => stages[progress.phase],
       formatRejection: (code) => {
         const status = rejectionStatuses[code] ?? DEFAULT_REJECTION_STATUS;
         return `HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`;
--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -239,7 +239,16 @@
       },
       readClock: () => this.readClock(),
     });
-    this.callers = new CallerConnections(this.front, () => this.readClock());
+    this.callers = new CallerConnections(
+      {
+        server: this.front,
+        maxConnections: settings.callers.maxConnections,
+        onEvict: (use) => {
+          this.metrics.addCount(`caller_connections_closed_${use}`);
+        },
+      },
+      () => this.readClock(),
+    );
     this.ready = createServer();
     const snapshots = new PeerSnapshots({
       incarnation: this.incarnation,
@@ -450,6 +459,7 @@
       isReady: this.isReady(),
       isDraining: this.gracefulStop.isDraining,
       active: this.callers.countUnfinished(),
+      callerConnections: this.callers.describeUses(),
       callerMemory: this.callerMemory.describe(),
       configurationVersion: this.configurationCache.version,
       proofAgeMs: this.configurationCache.computeAge(now),
--- a/src/process/settings/gatewaySettings.ts
+++ b/src/process/settings/gatewaySettings.ts
@@ -46,6 +46,8 @@
 
 /** Bounds on what the callers of a gateway may make it hold. */
 export interface CallerLimits {
+  /** Open connections; beyond them, those that serve their callers least are closed. */
+  readonly maxConnections: number;
   /** Requests in progress on one connection. */
   readonly maxRequestsPerConnection: number;
   /** Requests in progress on all connections, above which a connection with one is read no further. */
@@ -90,19 +92,40 @@
   maxBufferedBytes: defaults.maxBufferedBytes,
 };
 
+/** Descriptors that are kept for files, upstreams, other gateways and the ports of operators. */
+const RESERVED_DESCRIPTORS = 200;
+/** Share of the other descriptors that callers may use; as many remain for their requests at upstreams. */
+const CALLER_DESCRIPTOR_SHARE = 0.5;
+const CONNECTIONS_PER_MB = 5;
 /** Share of the memory of the host for bodies and unread responses. */
 const HELD_MEMORY_SHARE = 1 / 8;
 const BYTES_PER_MB = 1024 * 1024;
 
-function computeMaxHeldBytes(memoryMb: number): number {
+interface HostLimits {
+  readonly memory_mb: number;
+  readonly descriptors: number;
+}
+
+function computeMaxConnections({ memory_mb: memoryMb, descriptors }: HostLimits): number {
+  const free = (descriptors - RESERVED_DESCRIPTORS) * CALLER_DESCRIPTOR_SHARE;
+  return Math.max(1, Math.floor(Math.min(free, memoryMb * CONNECTIONS_PER_MB)));
+}
+
+function computeMaxHeldBytes({ memory_mb: memoryMb }: HostLimits): number {
   return Math.floor(memoryMb * BYTES_PER_MB * HELD_MEMORY_SHARE);
 }
 
+const defaultHost: HostLimits = {
+  memory_mb: defaults.hostMemoryMb,
+  descriptors: defaults.hostDescriptors,
+};
+
 /** Bounds of callers used unless the settings state others. */
 export const defaultCallerLimits: CallerLimits = {
+  maxConnections: computeMaxConnections(defaultHost),
   maxRequestsPerConnection: defaults.maxRequestsPerConnection,
   maxPipelinedRequests: defaults.maxPipelinedRequests,
-  maxHeldBytes: computeMaxHeldBytes(defaults.hostMemoryMb),
+  maxHeldBytes: computeMaxHeldBytes(defaultHost),
 };
 
 /** Port used in the deployment files; any free port works. */
@@ -115,53 +138,62 @@
   .max(65_535)
   .default(DEFAULT_METRICS_PORT);
 
-const gatewaySchema = z.object({
-  process: z.object({
-    id: z.string().min(1),
-    availability_zone: z.string().min(1),
-    log_level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
-    stop_limit_seconds: number,
-  }),
-  listen: z.object({
-    front: addressField,
-    ready: addressField,
-    links: addressField,
-    metrics_port: metricsPortField,
-  }),
-  peers: z.object({ seeds: addresses }),
-  store: z.object({ address: addressField }),
-  keys: z.object({ proof_ms: number }),
-  repeats: z.object({
-    window_seconds: number,
-    ratio: number,
-    extra: number,
-    gateways: z.coerce.number().int().positive().default(8),
-  }),
-  upstreams: z
-    .object({ max_pause_seconds: number.default(defaults.maxUpstreamPauseMs / 1000) })
-    .prefault({}),
-  host: z
-    .object({
-      memory_mb: positiveCount().default(defaults.hostMemoryMb),
-    })
-    .prefault({}),
-  callers: z
-    .object({
-      max_requests_per_connection: positiveCount().default(defaults.maxRequestsPerConnection),
-      max_pipelined_requests: positiveCount().default(defaults.maxPipelinedRequests),
-      max_held_bytes: byteCount().optional(),
-    })
-    .prefault({}),
-  responses: z
-    .object({
-      max_framing_bytes: byteCount().default(defaults.maxResponseFramingBytes),
-      max_body_bytes: byteCount().default(defaults.maxResponseBodyBytes),
-      max_event_bytes: byteCount().default(defaults.maxEventBytes),
-      max_unread_bytes: byteCount().default(defaults.maxUnreadBytes),
-      max_buffered_bytes: byteCount().default(defaults.maxBufferedBytes),
-    })
-    .prefault({}),
-});
+const gatewaySchema = z
+  .object({
+    process: z.object({
+      id: z.string().min(1),
+      availability_zone: z.string().min(1),
+      log_level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+      stop_limit_seconds: number,
+    }),
+    listen: z.object({
+      front: addressField,
+      ready: addressField,
+      links: addressField,
+      metrics_port: metricsPortField,
+    }),
+    peers: z.object({ seeds: addresses }),
+    store: z.object({ address: addressField }),
+    keys: z.object({ proof_ms: number }),
+    repeats: z.object({
+      window_seconds: number,
+      ratio: number,
+      extra: number,
+      gateways: z.coerce.number().int().positive().default(8),
+    }),
+    upstreams: z
+      .object({ max_pause_seconds: number.default(defaults.maxUpstreamPauseMs / 1000) })
+      .prefault({}),
+    host: z
+      .object({
+        memory_mb: positiveCount().default(defaults.hostMemoryMb),
+        descriptors: positiveCount().default(defaults.hostDescriptors),
+      })
+      .prefault({}),
+    callers: z
+      .object({
+        max_connections: positiveCount().optional(),
+        max_requests_per_connection: positiveCount().default(defaults.maxRequestsPerConnection),
+        max_pipelined_requests: positiveCount().default(defaults.maxPipelinedRequests),
+        max_held_bytes: byteCount().optional(),
+      })
+      .prefault({}),
+    responses: z
+      .object({
+        max_framing_bytes: byteCount().default(defaults.maxResponseFramingBytes),
+        max_body_bytes: byteCount().default(defaults.maxResponseBodyBytes),
+        max_event_bytes: byteCount().default(defaults.maxEventBytes),
+        max_unread_bytes: byteCount().default(defaults.maxUnreadBytes),
+        max_buffered_bytes: byteCount().default(defaults.maxBufferedBytes),
+      })
+      .prefault({}),
+  })
+  .superRefine(({ host, callers }, context) => {
+    const most = host.descriptors - RESERVED_DESCRIPTORS;
+    if (callers.max_connections === undefined || callers.max_connections <= most) return;
+    const message = `expected at most ${most}, as the host has ${host.descriptors} descriptors`;
+    context.addIssue({ code: 'custom', path: ['callers', 'max_connections'], message });
+  });
 
 /**
  * Reads and validates the settings of a gateway.
@@ -192,9 +224,10 @@
       },
       maxUpstreamPauseMs: upstreams.max_pause_seconds * 1000,
       callers: {
+        maxConnections: callers.max_connections ?? computeMaxConnections(host),
         maxRequestsPerConnection: callers.max_requests_per_connection,
         maxPipelinedRequests: callers.max_pipelined_requests,
-        maxHeldBytes: callers.max_held_bytes ?? computeMaxHeldBytes(host.memory_mb),
+        maxHeldBytes: callers.max_held_bytes ?? computeMaxHeldBytes(host),
       },
       responses: {
         maxFramingBytes: responses.max_framing_bytes,
