fix: responses that nobody reads, and requests sent ahead, count in the memory of callers

Callers saw a gateway take 1,040 MB: 100 connections asked for four responses of 3 MB each and read none.

Cause: a response was kept until its caller had read it, without a bound over all of them; the bound on incomplete responses of upstreams (48 MB beyond 1 MB each) ends when a response is complete, and is above what a small host has beside its heap.

Responses beyond 16 KB count in the memory that bodies share, from the first byte that comes from the upstream until their caller has read them, and so do bytes that were sent ahead. While it is used up, responses of upstreams are read no further; a connection whose response has not moved is closed only when others need the memory, the longest unread one first. A ready response is kept as long as there is memory, also late. A time limit for reading was ruled out: callers may read slowly.

--- a/src/connection/boundedServer.ts
+++ b/src/connection/boundedServer.ts
@@ -1,14 +1,18 @@
 import type { IncomingMessage, Server, ServerOptions } from 'node:http';
 import { createServer, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { CallerMemory } from './callerMemory.js';
 import type { ReaderOptions, RequestLimits } from './requestReader.js';
 import { RequestReader } from './requestReader.js';
+import type { UnreadResponse } from './unreadResponse.js';
 
 /** Interval of the checks for heads that are late; that of Node is 30 s by default. */
 const CONNECTIONS_CHECK_MS = 500;
 
 export interface BoundedServerOptions extends ServerOptions {
   readonly requestLimits: RequestLimits;
+  /** Memory in which unread responses count, and requests that were sent ahead. */
+  readonly memory?: CallerMemory;
   /** Current time in milliseconds. */
   readonly readClock: () => number;
 }
@@ -17,9 +21,25 @@
 
 /** Response that counts as in progress from the head of its request on, also if Node itself writes it. */
 class TrackedResponse<Request extends IncomingMessage> extends ServerResponse<Request> {
+  private readonly unread: UnreadResponse | undefined;
+
   constructor(...args: unknown[]) {
     super(...(args as [Request]));
-    readers.get(this.req.socket)?.track(this);
+    const reader = readers.get(this.req.socket);
+    reader?.track(this);
+    this.unread = reader?.createUnread(this);
+  }
+
+  override write(...args: unknown[]): boolean {
+    const hasRoom = super.write(...(args as Parameters<ServerResponse<Request>['write']>));
+    if (!hasRoom) this.unread?.update();
+    return hasRoom;
+  }
+
+  override end(...args: unknown[]): this {
+    super.end(...(args as Parameters<ServerResponse<Request>['end']>));
+    this.unread?.update();
+    return this;
   }
 }
 
@@ -30,8 +50,8 @@
  * @returns The server, not listening
  */
 export function createBoundedServer(options: BoundedServerOptions): Server {
-  const { requestLimits: limits, readClock, ...serverOptions } = options;
-  const readerOptions: ReaderOptions = { limits, count: { inProgress: 0 }, readClock };
+  const { requestLimits: limits, memory, readClock, ...serverOptions } = options;
+  const readerOptions: ReaderOptions = { limits, count: { inProgress: 0 }, memory, readClock };
   const server = createServer({
     connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
     ...serverOptions,
--- a/src/connection/callerMemory.ts
+++ b/src/connection/callerMemory.ts
@@ -9,8 +9,11 @@
 /** Share of the limit above it from which holds are ended at once. */
 const OVERSHOOT = 0.25;
 
-/** What memory is held for. */
-export type HoldKind = 'body';
+/**
+ * What memory is held for: a body of a request, a response that is read from an upstream or that its caller has not read,
+ * or requests that were sent ahead.
+ */
+export type HoldKind = 'body' | 'upstream' | 'response' | 'ahead';
 
 /** What holds memory for a caller. */
 export interface HoldOptions {
--- a/src/connection/requestReader.ts
+++ b/src/connection/requestReader.ts
@@ -1,5 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { CallerMemory, MemoryHold } from './callerMemory.js';
+import { UnreadResponse } from './unreadResponse.js';
 
 const HEAD_END = '\r\n\r\n';
 /**
@@ -24,6 +26,8 @@
   readonly limits: RequestLimits;
   /** Requests in progress of all connections. */
   readonly count: RequestCount;
+  /** Memory in which unread responses count, and requests that were sent ahead. */
+  readonly memory?: CallerMemory | undefined;
   /** Current time in milliseconds. */
   readonly readClock: () => number;
 }
@@ -52,6 +56,8 @@
   private isSuspended = false;
   private isDiscarding = false;
   private hasPaused = false;
+  /** Memory of the bytes that the socket has got back. */
+  private returned: MemoryHold | undefined;
   private arrivedAt: number | undefined;
 
   /**
@@ -108,6 +114,17 @@
     });
   }
 
+  /**
+   * Creates the count of what the caller has not read of a response.
+   *
+   * @param response - Response on this connection
+   * @returns The count, undefined without a limit
+   */
+  createUnread(response: ServerResponse): UnreadResponse | undefined {
+    const { memory, readClock } = this.options;
+    return memory === undefined ? undefined : new UnreadResponse(response, memory, readClock);
+  }
+
   /** Stops reading until `resume` is called, also within a body. */
   suspend(): void {
     this.isSuspended = true;
@@ -124,6 +141,7 @@
     this.isDiscarding = true;
     this.held.length = 0;
     this.heldByteCount = 0;
+    this.returned?.release();
     this.updateFlow();
   }
 
@@ -157,6 +175,16 @@
     this.heldByteCount = 0;
     this.pause();
     this.socket.unshift(bytes);
+    this.countReturned(bytes.length);
+  }
+
+  private countReturned(bytes: number): void {
+    const { memory, readClock } = this.options;
+    const evict = (): void => {
+      this.socket.destroy();
+    };
+    this.returned ??= memory?.open({ kind: 'ahead', group: '', evict }, readClock());
+    this.returned?.resize(bytes, readClock());
   }
 
   private passSlice({ bytes, receivedAt }: HeldBytes): void {
@@ -205,6 +233,7 @@
     }
     if (!this.hasPaused || !(this.isDiscarding || this.mayParse())) return;
     this.hasPaused = false;
+    this.returned?.release();
     this.socket.resume();
   }
 
--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -237,6 +237,7 @@
         maxPerConnection: maxRequestsPerConnection,
         maxTotal: maxPipelinedRequests,
       },
+      memory: this.callerMemory,
       readClock: () => this.readClock(),
     });
     this.callers = new CallerConnections(
--- a/src/request/forwarding/runAttempt.ts
+++ b/src/request/forwarding/runAttempt.ts
@@ -1,3 +1,5 @@
+import type { CallerMemory } from '../../connection/callerMemory.js';
+import { RESERVED_BYTES as RESERVED_HOLD_BYTES } from '../../connection/callerMemory.js';
 import { ProcessWitness } from '../../connection/processWitness.js';
 import { bodylessStatuses } from '../../connection/responseFraming.js';
 import type { ResponseHead, HeaderCodec } from '../../process/gateway/types.js';
@@ -17,6 +19,11 @@
   readonly limits: ResponseLimits;
   /** Memory shared by the responses of the process. */
   readonly buffers: BufferBudget;
+  /** Memory shared with what callers make the process hold. */
+  readonly memory: CallerMemory;
+  /** Responses of one group get memory after those of groups that hold less. */
+  readonly group: string;
+  readonly readClock: () => number;
   readonly codec: HeaderCodec;
   readonly requestId: string | undefined;
   /** Id of the last event that the caller has received; events up to it are skipped. */
@@ -60,6 +67,7 @@
       options.signal.removeEventListener('abort', abort);
       witness?.close();
       reader.releaseBuffers();
+      hold.release();
       exchange.abort();
       resolve(outcome);
     };
@@ -99,6 +107,8 @@
         },
         onData: (data) => {
           const fault = reader.acceptData(data);
+          if (reader.keptBytes > RESERVED_HOLD_BYTES)
+            hold.resize(reader.keptBytes, options.readClock());
           if (fault !== undefined) settle(fault);
           else if (reader.callerCaughtUp !== undefined) void pauseUntil(reader.callerCaughtUp);
         },
@@ -111,6 +121,23 @@
         },
       },
     );
+    const { memory, group, readClock } = options;
+    const hold = memory.open(
+      {
+        kind: 'upstream',
+        group,
+        suspend: () => {
+          exchange.pause();
+        },
+        resume: () => {
+          exchange.resume();
+        },
+        evict: () => {
+          settle(reader.createOutOfMemory());
+        },
+      },
+      readClock(),
+    );
     if (options.signal.aborted) {
       abort();
       return;
@@ -190,6 +217,11 @@
       : undefined;
   }
 
+  /** Bytes of a body that is kept until it is complete. */
+  get keptBytes(): number {
+    return this.bodyBytes;
+  }
+
   /** Returns the memory of the response to the budget. */
   releaseBuffers(): void {
     this.options.buffers.release(this.takenBytes);
@@ -203,9 +235,13 @@
       this.takenBytes += missingBytes;
       return undefined;
     }
+    return this.createOutOfMemory();
+  }
+
+  /** Creates the outcome of a response for which no memory is left; its body is not kept for the rest of the request. */
+  createOutOfMemory(): AttemptOutcome {
     this.chunks.length = 0;
-    const reason = `no memory left for a response body of ${this.bodyBytes} bytes`;
-    return this.createBroken(reason);
+    return this.createBroken(`no memory left for a response body of ${this.bodyBytes} bytes`);
   }
 
   private checkBodySize(bytes: number): AttemptOutcome | undefined {
