fix: an entry bounds its connections, late heads and requests sent ahead

Callers saw an entry end, out of memory, beside 40 connections that sent requests ahead, and use a descriptor for each connection and each unfinished head.

Cause: the same as at a gateway; the entry had its own HTTP server without these bounds, and its own close of a refused connection.

The entry uses the same server, reader and table of connections, with limits.max_connections, limits.max_requests_per_connection and limits.max_pipelined_requests. A refusal with an unread body closes its connection as a gateway does, after the caller has had time to read it.

--- a/src/defaults.ts
+++ b/src/defaults.ts
@@ -22,6 +22,10 @@
   /** Memory and descriptors of a host whose settings state none. */
   hostMemoryMb: 250,
   hostDescriptors: 4_100,
+  /** Connections of callers to an entry. */
+  maxEntryConnections: 1_250,
+  /** Request bodies and unread responses of all callers of an entry, beyond 16 KB each. */
+  maxEntryHeldBytes: 32 * 1024 * 1024,
   /** Requests in progress on one connection of a caller; further ones are not read until one of them has ended. */
   maxRequestsPerConnection: 8,
   /** Requests in progress on all connections of callers, above which a connection with one is read no further. */
--- a/src/process/entry/entryDaemon.ts
+++ b/src/process/entry/entryDaemon.ts
@@ -17,6 +17,7 @@
 import { startOperatorServer } from '../operatorServer.js';
 import { PauseDetector } from '../pauseDetector.js';
 import type { EntryOptions } from '../types.js';
+import { defaultEntryLimits } from '../types.js';
 import { AgentPool } from './agentPool.js';
 import { AttemptTable } from './attemptTable.js';
 import { mergeHandlers } from './mergeHandlers.js';
@@ -123,7 +124,11 @@
       orders: this.orders,
       metrics,
       logger,
-      maxBodyBytes: options.maxBodyBytes,
+      limits: {
+        ...defaultEntryLimits,
+        ...options.callerLimits,
+        maxBodyBytes: options.maxBodyBytes,
+      },
       isDraining: () => this.draining,
       getDrainEnd: () => this.drainEnd,
       isReady: () => distribution?.isReady() ?? true,
@@ -196,6 +201,7 @@
       hello: this.createHello(),
       ...this.describeHealth(),
       requests: this.http.activeRequests,
+      callers: this.http.describeCallers(),
       attempts: this.attempts.size,
       orderCalls: this.calls.size,
       agents: this.pool.describe(),
--- a/src/process/settings/readSettings.ts
+++ b/src/process/settings/readSettings.ts
@@ -48,6 +48,7 @@
         httpPort: settings.http.port,
         linksPerService: settings.links.per_service,
         maxBodyBytes: settings.limits?.max_body ?? defaults.maxBodyBytes,
+        callerLimits: readCallerLimits(settings.limits),
         routingPolicy: settings.links.routing_policy,
       })),
     ),
@@ -65,6 +66,16 @@
     ),
 };
 
+function readCallerLimits(limits: EntrySettings['limits']): EntryOptions['callerLimits'] {
+  if (limits === undefined) return undefined;
+  return {
+    maxConnections: limits.max_connections,
+    maxRequestsPerConnection: limits.max_requests_per_connection,
+    maxPipelinedRequests: limits.max_pipelined_requests,
+    maxHeldBytes: limits.max_held,
+  };
+}
+
 /**
  * Reads and validates the settings of a daemon.
  *
--- a/src/process/settings/settingsSchema.ts
+++ b/src/process/settings/settingsSchema.ts
@@ -103,6 +103,10 @@
     .strictObject({
       drain: duration.default(defaults.drainLimitMs),
       max_body: size.default(defaults.maxBodyBytes),
+      max_connections: positiveInteger.default(defaults.maxEntryConnections),
+      max_requests_per_connection: positiveInteger.default(defaults.maxRequestsPerConnection),
+      max_pipelined_requests: positiveInteger.default(defaults.maxPipelinedRequests),
+      max_held: size.default(defaults.maxEntryHeldBytes),
     })
     .optional(),
 });
--- a/src/process/types.ts
+++ b/src/process/types.ts
@@ -1,5 +1,17 @@
 import type { TlsMaterial } from '../connection/tlsOptions.js';
 import type { Hello } from '../connection/peerLink.js';
+import { defaults } from '../defaults.js';
+import type { CallerLimits } from '../request/http/types.js';
+
+type EntryLimits = Omit<CallerLimits, 'maxBodyBytes'>;
+
+/** Bounds of callers used unless the settings state others. */
+export const defaultEntryLimits: EntryLimits = {
+  maxConnections: defaults.maxEntryConnections,
+  maxRequestsPerConnection: defaults.maxRequestsPerConnection,
+  maxPipelinedRequests: defaults.maxPipelinedRequests,
+  maxHeldBytes: defaults.maxEntryHeldBytes,
+};
 
 /** Options common to all daemons. */
 export interface ProcessOptions {
@@ -26,6 +38,7 @@
   readonly httpPort: number;
   readonly linksPerService: number;
   readonly maxBodyBytes: number;
+  readonly callerLimits?: EntryLimits | undefined;
   readonly routingPolicy: string;
 }
 
--- a/src/request/http/httpServer.ts
+++ b/src/request/http/httpServer.ts
@@ -1,12 +1,14 @@
 import { randomBytes } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { createServer } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
-import { Server as NetServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import polka from 'polka';
 import { acceptPending, pollSocketsOnce } from '../../connection/acceptPending.js';
+import { createBoundedServer } from '../../connection/boundedServer.js';
+import { CallerMemory } from '../../connection/callerMemory.js';
+import { ConnectionTable } from '../../connection/connectionTable.js';
+import type { Exchange as ConnectionExchange } from '../../connection/responseClose.js';
 import { createError } from '../../errors.js';
 import type { RequestError } from '../../errors.js';
 import { defaults } from '../../defaults.js';
@@ -60,9 +62,8 @@
   private readonly idPrefix = randomBytes(6).toString('hex');
   private count = 0;
   private active = 0;
-  private connections = 0;
-  /** Connections accepted since the start. */
-  private acceptedConnections = 0;
+  private readonly memory: CallerMemory;
+  private readonly connections: ConnectionTable<ConnectionExchange>;
   /** Connections and requests accepted since the start. */
   private arrivals = 0;
   private readonly pauses = new PauseDetector(Date.now());
@@ -70,27 +71,49 @@
   private readonly readController = new AbortController();
 
   constructor(private readonly context: HttpContext) {
-    this.server = createServer({
+    const { limits, metrics, logger } = context;
+    this.memory = new CallerMemory(limits.maxHeldBytes, ({ kind, group }, bytes) => {
+      metrics.addCount(`caller_memory_reclaimed_${kind}`);
+      logger.info({ kind, workspace: group, bytes }, 'memory of a caller reclaimed');
+    });
+    this.server = createBoundedServer({
       maxHeaderSize: defaults.maxHeaderBytes,
       headersTimeout: defaults.bodyTimeoutMs,
       requestTimeout: 2 * defaults.bodyTimeoutMs,
       keepAliveTimeout: KEEP_ALIVE_MS,
       noDelay: true,
+      requestLimits: {
+        maxPerConnection: limits.maxRequestsPerConnection,
+        maxTotal: limits.maxPipelinedRequests,
+      },
+      memory: this.memory,
+      readClock: Date.now,
+    });
+    this.connections = new ConnectionTable({
+      server: this.server,
+      maxConnections: limits.maxConnections,
+      readClock: Date.now,
+      formatRejection,
+      getStage: ({ request, response }) => {
+        if (!request.complete) return 'reading';
+        return response.writableEnded ? 'delivering' : 'working';
+      },
+      onEvict: (use) => {
+        metrics.addCount(`caller_connections_closed_${use}`);
+      },
     });
     // One listener for each request whose body is being read.
     setMaxListeners(0, this.readController.signal);
-    this.server.on('clientError', rejectMalformed);
-    this.server.on('connection', (socket) => {
+    this.server.on('connection', () => {
       this.arrivals += 1;
-      this.connections += 1;
-      this.acceptedConnections += 1;
-      socket.once('close', () => {
-        this.connections -= 1;
-      });
+    });
+    this.server.prependListener('request', (request, response) => {
+      this.connections.add({ request, response });
     });
     this.app = this.createApp();
     this.pauseTimer = setInterval(() => {
       this.pauses.recordTick(Date.now());
+      this.memory.advance(Date.now());
     }, PAUSE_TICK_INTERVAL_MS);
     this.pauseTimer.unref();
   }
@@ -118,8 +141,8 @@
 
   /** Stops accepting connections; established ones stay open, so that their requests are answered. */
   async stopAccepting(): Promise<void> {
-    await acceptPending(() => this.acceptedConnections);
-    this.closeListener();
+    await acceptPending(() => this.connections.acceptedCount);
+    this.connections.closeListener();
   }
 
   /**
@@ -129,7 +152,7 @@
    */
   async waitUntilIdle(signal: AbortSignal): Promise<void> {
     let idlePolls = 0;
-    while (idlePolls < IDLE_POLLS_BEFORE_CLOSE && this.connections > 0 && !signal.aborted) {
+    while (idlePolls < IDLE_POLLS_BEFORE_CLOSE && this.connections.size > 0 && !signal.aborted) {
       const { arrivals } = this;
       await sleep(IDLE_POLL_INTERVAL_MS);
       await pollSocketsOnce();
@@ -146,12 +169,17 @@
   /** Closes all connections. */
   close(): void {
     clearInterval(this.pauseTimer);
-    this.closeListener();
-    this.server.closeAllConnections();
+    this.connections.closeListener();
+    this.connections.destroyAll();
   }
 
-  private closeListener(): void {
-    if (this.server.listening) NetServer.prototype.close.call(this.server);
+  /**
+   * Describes what the callers make this process hold, for the state dump.
+   *
+   * @returns Connections by use, and memory
+   */
+  describeCallers(): unknown {
+    return { connections: this.connections.describeUses(), memory: this.memory.describe() };
   }
 
   private createApp(): polka.Polka {
@@ -214,7 +242,10 @@
     const params = request.params as Readonly<Record<string, string>>;
     const workspace = caller.value;
     const { signal } = disconnected;
-    const bodyLimits = { maxBytes: context.maxBodyBytes, stopSignal: this.readController.signal };
+    const bodyLimits = {
+      maxBytes: context.limits.maxBodyBytes,
+      stopSignal: this.readController.signal,
+    };
     const exchange = {
       request,
       response,
@@ -248,14 +279,10 @@
   }
 }
 
-function rejectMalformed(error: Error & { code?: string }, socket: Socket): void {
-  if (!socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const { status, error: refusal } = parserErrors[error.code ?? ''] ?? malformed;
+function formatRejection(code: string): string {
+  const { status, error: refusal } = parserErrors[code] ?? malformed;
   const body = JSON.stringify(formatError(refusal));
   const requestId = randomBytes(6).toString('hex');
   const head = `content-type: application/json\r\nx-request-id: ${requestId}\r\nconnection: close`;
-  socket.end(`HTTP/1.1 ${status}\r\n${head}\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+  return `HTTP/1.1 ${status}\r\n${head}\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
 }
--- a/src/request/http/respond.ts
+++ b/src/request/http/respond.ts
@@ -6,8 +6,6 @@
 const MS_PER_SECOND = 1_000;
 /** Larger bodies are written separately, because copying them costs more than a second write. */
 const MAX_JOINED_BYTES = 16 * 1024;
-/** Delay before closing, so that the caller can read the error before its unread body causes a connection reset. */
-const LINGER_MS = 500;
 
 /**
  * Formats an error for callers.
@@ -79,9 +77,6 @@
   if (!request.complete) {
     response.setHeader('connection', 'close');
     request.resume();
-    response.once('finish', () => {
-      setTimeout(() => request.socket.destroy(), LINGER_MS).unref();
-    });
   }
   sendJson(response, status, value);
 }
--- a/src/request/http/types.ts
+++ b/src/request/http/types.ts
@@ -9,6 +9,19 @@
 import type { BodyLimits } from './readBody.js';
 import type { OrderDispatcher } from '../orders/orderDispatcher.js';
 
+/** Bounds on what the callers of an entry may make it hold. */
+export interface CallerLimits {
+  readonly maxBodyBytes: number;
+  /** Open connections; beyond them, those that serve their callers least are closed. */
+  readonly maxConnections: number;
+  /** Requests in progress on one connection. */
+  readonly maxRequestsPerConnection: number;
+  /** Requests in progress on all connections, above which a connection with one is read no further. */
+  readonly maxPipelinedRequests: number;
+  /** Bytes of all request bodies and unread responses, beyond 16 KB each. */
+  readonly maxHeldBytes: number;
+}
+
 /** Components of the entry that the routes use. */
 export interface HttpContext {
   readonly configuration: ConfigurationView;
@@ -16,7 +29,7 @@
   readonly orders: OrderDispatcher;
   readonly metrics: Metrics;
   readonly logger: Logger;
-  readonly maxBodyBytes: number;
+  readonly limits: CallerLimits;
   isDraining(): boolean;
   isReady(): boolean;
   /** Time at which a drain cancels the unfinished requests, in milliseconds; infinite without a drain. */
