fix: the bodies of all callers of an entry share a bounded memory

Callers saw an entry end, out of memory, beside 60 bodies in chunks of one byte, and take 353 MB beside 250 bodies that stopped one byte short of the limit.

Cause: the same as at a gateway: a buffer for each chunk, and a bound for each body only.

A body that does not move while others wait for memory is refused with 503 and nothing of it has run.

--- a/src/request/http/httpServer.ts
+++ b/src/request/http/httpServer.ts
@@ -5,10 +5,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import polka from 'polka';
 import { acceptPending, pollSocketsOnce } from '../../connection/acceptPending.js';
-import { createBoundedServer } from '../../connection/boundedServer.js';
+import { createBoundedServer, getRequestReader } from '../../connection/boundedServer.js';
 import { CallerMemory } from '../../connection/callerMemory.js';
 import { ConnectionTable } from '../../connection/connectionTable.js';
 import type { Exchange as ConnectionExchange } from '../../connection/responseClose.js';
+import { observeClose } from '../../connection/responseClose.js';
 import { createError } from '../../errors.js';
 import type { RequestError } from '../../errors.js';
 import { defaults } from '../../defaults.js';
@@ -17,6 +18,7 @@
 import { authenticate } from './authenticate.js';
 import { handleCall, listModels } from './callRoute.js';
 import { handleChat } from './chatRoute.js';
+import type { BodyLimits } from './readBody.js';
 import { formatError, sendError } from './respond.js';
 import type { HttpContext, Route } from './types.js';
 
@@ -242,9 +244,15 @@
     const params = request.params as Readonly<Record<string, string>>;
     const workspace = caller.value;
     const { signal } = disconnected;
-    const bodyLimits = {
+    const bodyLimits: BodyLimits = {
       maxBytes: context.limits.maxBodyBytes,
       stopSignal: this.readController.signal,
+      memory: this.memory,
+      group: workspace,
+      reader: getRequestReader(request.socket),
+      onReceived: (release) => {
+        observeClose({ request, response }, release);
+      },
     };
     const exchange = {
       request,
--- a/src/request/http/readBody.ts
+++ b/src/request/http/readBody.ts
@@ -1,69 +1,92 @@
 import type { IncomingMessage } from 'node:http';
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
+import { CallerMemory } from '../../connection/callerMemory.js';
+import type { BodyFailure } from '../../connection/receiveBody.js';
+import { receiveBody } from '../../connection/receiveBody.js';
+import type { RequestReader } from '../../connection/requestReader.js';
 import { defaults } from '../../defaults.js';
 import type { RequestError } from '../../errors.js';
 import { createError } from '../../errors.js';
 
+/** Time after which memory for a body is expected. */
+const MEMORY_RETRY_AFTER_MS = 1_000;
+/** Reason with which the wait for a body is aborted at its time limit. */
+const BODY_TIMEOUT = 'timeout';
+
 export interface BodyLimits {
   readonly maxBytes: number;
   /** Maximum time until the body is complete. */
   readonly timeoutMs?: number;
   /** Aborted when this process ends and no longer waits for the rest of the body. */
   readonly stopSignal?: AbortSignal;
+  /** Memory that the bodies of all requests share; unlimited by default. */
+  readonly memory?: CallerMemory;
+  /** Requests of one group get memory after those of groups that hold less. */
+  readonly group?: string;
+  readonly reader?: Pick<RequestReader, 'suspend' | 'resume'>;
+  /** Called with the function that releases the memory of the body, at the end of the request. */
+  readonly onReceived?: (release: () => void) => void;
 }
 
+const unlimited = new CallerMemory(Infinity);
+const noReader = { suspend: () => undefined, resume: () => undefined };
+
 /**
- * Reads a request body, with limits on size and time.
+ * Reads a request body, with limits on size, time and memory.
  *
  * @param request - HTTP request
- * @param limits - Limits on size and time
- * @returns The body, or `too_large`, `timeout`, `draining` or `cancelled`
+ * @param limits - Limits
+ * @returns The body, or `too_large`, `timeout`, `draining`, `overloaded` or `cancelled`
  */
-export function readBody(
+export async function readBody(
   request: IncomingMessage,
-  { maxBytes, timeoutMs = defaults.bodyTimeoutMs, stopSignal }: BodyLimits,
+  limits: BodyLimits,
 ): Promise<Result<Buffer<ArrayBuffer>, RequestError>> {
-  if (Number(request.headers['content-length'] ?? 0) > maxBytes)
-    return Promise.resolve(createSizeError(maxBytes));
-  return new Promise((resolve) => {
-    const parts: Buffer<ArrayBuffer>[] = [];
-    let size = 0;
-    const settle = (result: Result<Buffer<ArrayBuffer>, RequestError>): void => {
-      clearTimeout(timer);
-      request.off('data', onData);
-      stopSignal?.removeEventListener('abort', onStop);
-      resolve(result);
-    };
-    const timer = setTimeout(() => {
-      settle(Err(createError('timeout', `body did not arrive within ${timeoutMs} ms`)));
-    }, timeoutMs);
-    const onData = (part: Buffer<ArrayBuffer>): void => {
-      size += part.length;
-      if (size > maxBytes) settle(createSizeError(maxBytes));
-      else parts.push(part);
-    };
-    const onStop = (): void => {
-      const message = 'this entry shut down before the body was complete; nothing was run';
-      settle(Err(createError('draining', message)));
-    };
-    request.on('data', onData);
-    stopSignal?.addEventListener('abort', onStop, { once: true });
-    request.once('end', () => {
-      settle(Ok(parts.length === 1 && parts[0] !== undefined ? parts[0] : Buffer.concat(parts)));
-    });
-    request.once('close', () => {
-      // An Err captures a stack trace, the most expensive step here, so none is created for complete bodies.
-      if (request.readableEnded) return;
-      settle(Err(createError('cancelled', 'the client closed the connection')));
-    });
-    request.once('error', () => undefined);
+  const { maxBytes, timeoutMs = defaults.bodyTimeoutMs, stopSignal, onReceived } = limits;
+  const controller = new AbortController();
+  const stop = (): void => {
+    controller.abort();
+  };
+  const timer = setTimeout(() => {
+    controller.abort(BODY_TIMEOUT);
+  }, timeoutMs);
+  stopSignal?.addEventListener('abort', stop, { once: true });
+  const received = await receiveBody(request, {
+    maxBytes,
+    memory: limits.memory ?? unlimited,
+    group: limits.group ?? '',
+    reader: limits.reader ?? noReader,
+    signal: controller.signal,
+    readClock: Date.now,
   });
+  clearTimeout(timer);
+  stopSignal?.removeEventListener('abort', stop);
+  if (received.isErr()) return Err(createBodyError[received.error](limits, controller.signal));
+  const { bytes, release } = received.value;
+  onReceived?.(release);
+  return Ok(bytes ?? Buffer.alloc(0));
 }
 
-function createSizeError(maxBytes: number): Result<never, RequestError> {
-  return Err(createError('too_large', `body exceeds ${maxBytes} bytes`));
-}
+const createBodyError: Readonly<
+  Record<BodyFailure, (limits: BodyLimits, signal: AbortSignal) => RequestError>
+> = {
+  too_large: ({ maxBytes }) => createError('too_large', `body exceeds ${maxBytes} bytes`),
+  closed: () => createError('cancelled', 'the client closed the connection'),
+  evicted: () =>
+    createError(
+      'overloaded',
+      'no memory is left for the body; nothing was run',
+      MEMORY_RETRY_AFTER_MS,
+    ),
+  aborted: ({ timeoutMs = defaults.bodyTimeoutMs }, { reason }) =>
+    reason === BODY_TIMEOUT
+      ? createError('timeout', `body did not arrive within ${timeoutMs} ms`)
+      : createError(
+          'draining',
+          'this entry shut down before the body was complete; nothing was run',
+        ),
+};
 
 /**
  * Reads a JSON body, with the same limits.
