fix: slow callers of a stream who leave no longer cause errors that end the process

Callers saw a gateway end after twenty callers, within 10 s, had left streams that they read slowly.

Cause: a stream whose caller reads slowly pauses the HTTP client. If the response ends with its connection, and the gateway closes that because the caller has left, the parser of the client asserts that it is not paused and throws where nobody catches it. The guard of such errors ends the process after twenty in 10 s.

The exchange resumes the client before it closes the connection; what is read then is dropped. All events that a slow caller has to read share one listener: one for each made Node warn of a leak.

--- a/src/request/forwarding/callerReply.ts
+++ b/src/request/forwarding/callerReply.ts
@@ -59,6 +59,8 @@
 export class CallerReply {
   private hasSentHead = false;
   private hasEnded = false;
+  /** Resolves when the caller has read what it left unread; one for all events until then. */
+  private drained: Promise<void> | undefined;
   /** Stream that is kept for a caller that reads no chunks. */
   private kept: KeptStream | undefined;
 
@@ -123,9 +125,13 @@
     }
     const { response, limits } = this;
     if (response.write(bytes) || response.writableLength <= limits.maxUnreadBytes) return undefined;
-    return new Promise((resolve) => {
-      response.once('drain', resolve);
+    this.drained ??= new Promise((resolve) => {
+      response.once('drain', () => {
+        this.drained = undefined;
+        resolve();
+      });
     });
+    return this.drained;
   }
 
   /** Ends a streamed response as complete. */
--- a/src/request/forwarding/upstreamExchange.ts
+++ b/src/request/forwarding/upstreamExchange.ts
@@ -165,6 +165,8 @@
   }
 
   private close(): void {
+    // The client throws, where nobody catches it, if its parser is paused when the connection is closed.
+    this.controller?.resume();
     this.socket?.destroy();
     void this.client?.destroy().catch(() => undefined);
   }
