fix: the largest body or response may exceed the shared memory, so that none wait for each other

A response of up to 32 MB, which responses.max_body_bytes allows, was ended when it exceeded the memory that all share, although it was the only one; and bodies that filled the memory together all waited until the largest was ended.

Far beyond it, the one that has not moved for longest ends, as before.

--- a/src/connection/callerMemory.ts
+++ b/src/connection/callerMemory.ts
@@ -46,6 +46,11 @@
     public movedAt: number,
   ) {}
 
+  /** Bytes that it holds. */
+  get size(): number {
+    return this.bytes;
+  }
+
   /** Bytes that it counts while it waits, with those that its socket reads in advance. */
   get countedBytes(): number {
     const ahead = this.isWaiting ? READ_AHEAD_BYTES : 0;
@@ -113,7 +118,7 @@
     this.recount(hold);
     if (hold.counted > 0) this.holds.add(hold);
     else this.holds.delete(hold);
-    if (this.usedBytes > this.maxBytes && hold.counted > 0) this.suspend(hold);
+    if (hold.counted > 0 && !this.mayGrow(hold)) this.suspend(hold);
     this.endOldest(now);
     if (this.usedBytes < this.maxBytes) this.resumeWaiting(now);
   }
@@ -139,6 +144,8 @@
     if (this.waiting.size === 0) return;
     if (this.usedBytes >= this.maxBytes) this.endStalled(now);
     this.resumeWaiting(now);
+    const largest = this.findLargest();
+    if (largest?.isWaiting === true) this.resume(largest, now);
   }
 
   /** Describes the use for the state dump. */
@@ -167,15 +174,36 @@
     while (this.usedBytes < this.maxBytes) {
       const hold = this.findNextWaiting();
       if (hold === undefined) break;
-      this.waiting.delete(hold);
-      hold.isWaiting = false;
-      hold.movedAt = now;
-      this.recount(hold);
-      hold.options.resume?.();
+      this.resume(hold, now);
     }
     this.isResuming = false;
   }
 
+  private resume(hold: MemoryHold, now: number): void {
+    this.waiting.delete(hold);
+    hold.isWaiting = false;
+    hold.movedAt = now;
+    this.recount(hold);
+    hold.options.resume?.();
+  }
+
+  /** Whether a hold may take more. The largest one may exceed the limit, so that holds do not wait for each other. */
+  private mayGrow(hold: MemoryHold): boolean {
+    if (this.usedBytes <= this.maxBytes) return true;
+    return this.usedBytes <= this.hardLimit && this.findLargest() === hold;
+  }
+
+  private findLargest(): MemoryHold | undefined {
+    let largest: MemoryHold | undefined;
+    for (const hold of this.holds)
+      if (largest === undefined || hold.size > largest.size) largest = hold;
+    return largest;
+  }
+
+  private get hardLimit(): number {
+    return this.maxBytes * (1 + OVERSHOOT);
+  }
+
   /** Finds the hold that has waited longest among those whose group holds least. */
   private findNextWaiting(): MemoryHold | undefined {
     if (this.waiting.size === 0) return undefined;
@@ -193,25 +221,15 @@
     return next;
   }
 
-  /** Ends holds that have not moved for a while; if all of them wait for each other, the largest one. */
+  /** Ends holds that have not moved for a while. */
   private endStalled(now: number): void {
-    let canRelease = false;
-    for (const hold of [...this.holds]) {
-      if (hold.isWaiting) continue;
-      canRelease = true;
-      if (hold.isEvictable && now - hold.movedAt >= STALL_MS) this.end(hold);
-    }
-    if (canRelease) return;
-    let largest: MemoryHold | undefined;
-    for (const hold of this.holds)
-      if (largest === undefined || hold.counted > largest.counted) largest = hold;
-    if (largest !== undefined) this.end(largest);
+    for (const hold of [...this.holds])
+      if (!hold.isWaiting && hold.isEvictable && now - hold.movedAt >= STALL_MS) this.end(hold);
   }
 
   /** Ends the holds that have been without progress for longest while the limit is far exceeded. */
   private endOldest(now: number): void {
-    const hardLimit = this.maxBytes * (1 + OVERSHOOT);
-    while (this.usedBytes > hardLimit && this.holds.size > 1) {
+    while (this.usedBytes > this.hardLimit && this.holds.size > 1) {
       let oldest: MemoryHold | undefined;
       for (const hold of this.holds) {
         if (!hold.isEvictable || hold.movedAt >= now) continue;
