fix: what follows the last request of a connection is not parsed

A caller that asked for the close of its connection, and sent another request behind, lost the response that was due: the parser took the second request for an error, and the connection was closed. The spec "losing the responses of requests that wait behind a stream" (entryDaemon.spec.ts) failed since the requests are passed to the parser one by one; it passes again.

--- a/src/connection/requestReader.ts
+++ b/src/connection/requestReader.ts
@@ -206,6 +206,11 @@
     return headEnd === -1 ? bytes.length : headEnd + HEAD_END.length;
   }
 
+  /** Whether the connection closes after the last request, so that what follows is not answered. */
+  private get isLastRequest(): boolean {
+    return !this.isInBody && this.last?.shouldKeepAlive === false;
+  }
+
   private get isInBody(): boolean {
     return this.last?.req.complete === false;
   }
@@ -215,6 +220,7 @@
    * then and takes further bytes for an error.
    */
   private mayParse(): boolean {
+    if (this.isLastRequest) this.discard();
     if (this.isSuspended || this.isDiscarding || this.socket.destroyed) return false;
     if (this.isInBody) return true;
     const { size } = this.inProgress;
