--- a/src/process/settings/readSettings.spec.ts
+++ b/src/process/settings/readSettings.spec.ts
@@ -23,10 +23,12 @@
 [limits]
 drain = 2s
 max_body = 64KB
+max_connections = 300
+max_held = 2MB
 `;
 const agentText = entryText
   .replace('port = 8080\n', '')
-  .replace('max_body = 64KB\n', '')
+  .replace('max_body = 64KB\nmax_connections = 300\nmax_held = 2MB\n', '')
   .concat('[upstream]\nid = u1\nservice = relief\nurl = http://127.0.0.1:1\nslots = 4\n');
 const listKeys = (text: string): string[] => {
   const settings = parseSettings(text, 'entry');
@@ -51,6 +53,12 @@
         httpPort: 8080,
         linksPerService: 24,
         maxBodyBytes: 65536,
+        callerLimits: {
+          maxConnections: 300,
+          maxRequestsPerConnection: 8,
+          maxPipelinedRequests: 1_000,
+          maxHeldBytes: 2 * 1024 * 1024,
+        },
         routingPolicy: 'affinity',
       },
     });
