fix: connections that send ahead leave each turn of the event loop to others

Ordinary callers got no answer for 8 s beside 40 connections that sent ahead requests that are refused at once.

Cause: the end of a response, the next request and its refusal followed each other without a turn of the event loop, for all requests in 64 KB that a connection had received, some 60 ms each; an ordinary request needs several turns. Bodies in chunks of one byte took some milliseconds for each read in the same way.

A connection begins one request in a turn, and slices of more than 4 KB of all connections together share 256 KB of it; the rest waits for the next one.

--- a/src/connection/boundedServer.ts
+++ b/src/connection/boundedServer.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net';
 import type { CallerMemory } from './callerMemory.js';
 import type { ReaderOptions, RequestLimits } from './requestReader.js';
-import { RequestReader } from './requestReader.js';
+import { ReaderLoad, RequestReader } from './requestReader.js';
 import type { UnreadResponse } from './unreadResponse.js';
 
 /** Interval of the checks for heads that are late; that of Node is 30 s by default. */
@@ -51,7 +51,7 @@
  */
 export function createBoundedServer(options: BoundedServerOptions): Server {
   const { requestLimits: limits, memory, readClock, ...serverOptions } = options;
-  const readerOptions: ReaderOptions = { limits, count: { inProgress: 0 }, memory, readClock };
+  const readerOptions: ReaderOptions = { limits, load: new ReaderLoad(), memory, readClock };
   const server = createServer({
     connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
     ...serverOptions,
--- a/src/connection/requestReader.ts
+++ b/src/connection/requestReader.ts
@@ -10,9 +10,35 @@
  */
 const MAX_HELD_BYTES = 4 * 1024;
 
-/** Requests in progress of all connections of a server. */
-export interface RequestCount {
-  inProgress: number;
+/** Bytes of longer slices that all connections of a server may have parsed in one turn of the event loop. */
+const MAX_TURN_BYTES = 256 * 1024;
+/** Slices up to this size are parsed in any case, so that short requests do not wait for long ones. */
+const SHORT_SLICE_BYTES = 4 * 1024;
+
+/** What the connections of a server share. */
+export class ReaderLoad {
+  /** Requests in progress of all connections. */
+  inProgress = 0;
+  private turnBytes = 0;
+
+  /**
+   * Takes a slice of the present turn of the event loop. A body in chunks of one byte takes some milliseconds for each
+   * 64 KB, and with many of them other callers would wait for seconds.
+   *
+   * @param bytes - Size of the slice
+   * @returns False if it has to wait for the next turn
+   */
+  tryTakeTurn(bytes: number): boolean {
+    if (bytes <= SHORT_SLICE_BYTES) return true;
+    if (this.turnBytes >= MAX_TURN_BYTES) return false;
+    if (this.turnBytes === 0) {
+      setImmediate(() => {
+        this.turnBytes = 0;
+      });
+    }
+    this.turnBytes += bytes;
+    return true;
+  }
 }
 
 /** Bounds on the requests that are in progress at the same time. */
@@ -24,8 +50,7 @@
 
 export interface ReaderOptions {
   readonly limits: RequestLimits;
-  /** Requests in progress of all connections. */
-  readonly count: RequestCount;
+  readonly load: ReaderLoad;
   /** Memory in which unread responses count, and requests that were sent ahead. */
   readonly memory?: CallerMemory | undefined;
   /** Current time in milliseconds. */
@@ -53,6 +78,7 @@
   /** Bytes that are due of the last body; NaN if it comes in chunks. */
   private bodyLeft = 0;
   private isPassing = false;
+  private isScheduled = false;
   private isSuspended = false;
   private isDiscarding = false;
   private hasPaused = false;
@@ -82,7 +108,7 @@
       this.discard();
     });
     socket.once('close', () => {
-      options.count.inProgress -= this.inProgress.size;
+      options.load.inProgress -= this.inProgress.size;
       this.inProgress.clear();
       this.discard();
     });
@@ -106,11 +132,11 @@
   track(response: ServerResponse): void {
     this.inProgress.add(response);
     this.last = response;
-    this.options.count.inProgress += 1;
+    this.options.load.inProgress += 1;
     response.once('close', () => {
       if (!this.inProgress.delete(response)) return;
-      this.options.count.inProgress -= 1;
-      this.passHeld();
+      this.options.load.inProgress -= 1;
+      if (this.held.length > 0 || this.hasPaused) this.scheduleNext();
     });
   }
 
@@ -152,19 +178,40 @@
     this.passHeld();
   }
 
-  /** Passes held bytes on, each time up to the end of one head or body at most. */
+  /**
+   * Passes held bytes on, each time up to the end of one head or body at most, and one head in a turn of the event loop:
+   * requests that are answered at once would otherwise keep other connections from being read.
+   */
   private passHeld(): void {
     if (this.isPassing) return;
     this.isPassing = true;
+    const { last } = this;
     for (;;) {
       const [first] = this.held;
       if (first === undefined || !this.mayParse()) break;
-      this.passSlice(first);
+      if (this.last !== last && !this.isInBody) {
+        this.scheduleNext();
+        break;
+      }
+      if (!this.passSlice(first)) {
+        this.scheduleNext();
+        break;
+      }
     }
     this.arrivedAt = undefined;
     this.isPassing = false;
     if (this.heldByteCount > MAX_HELD_BYTES) this.returnHeld();
-    this.updateFlow();
+    if (!this.isScheduled) this.updateFlow();
+  }
+
+  /** Goes on in the next turn of the event loop. */
+  private scheduleNext(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    setImmediate(() => {
+      this.isScheduled = false;
+      this.passHeld();
+    });
   }
 
   /** Returns bytes to the socket, which reads no more while it has them. */
@@ -187,8 +234,10 @@
     this.returned?.resize(bytes, readClock());
   }
 
-  private passSlice({ bytes, receivedAt }: HeldBytes): void {
+  /** Passes the next slice on, unless it has to wait for the next turn. */
+  private passSlice({ bytes, receivedAt }: HeldBytes): boolean {
     const end = this.findSliceEnd(bytes);
+    if (!this.options.load.tryTakeTurn(end)) return false;
     if (end === bytes.length) this.held.shift();
     else this.held[0] = { bytes: bytes.subarray(end), receivedAt };
     this.heldByteCount -= end;
@@ -197,6 +246,7 @@
     this.bodyLeft -= end;
     this.parse(end === bytes.length ? bytes : bytes.subarray(0, end));
     if (this.last !== last) this.bodyLeft = Number(this.last?.req.headers['content-length']);
+    return true;
   }
 
   /** Finds the end of the body with a length, or of the next head; the last chunk of a body ends like a head. */
@@ -225,8 +275,8 @@
     if (this.isInBody) return true;
     const { size } = this.inProgress;
     if (size === 0) return true;
-    const { limits, count } = this.options;
-    if (size >= limits.maxPerConnection || count.inProgress >= limits.maxTotal) return false;
+    const { limits, load } = this.options;
+    if (size >= limits.maxPerConnection || load.inProgress >= limits.maxTotal) return false;
     let unsentBytes = 0;
     for (const { writableLength } of this.inProgress) unsentBytes += writableLength;
     return !this.socket.writableNeedDrain && unsentBytes < this.socket.writableHighWaterMark;
