fix: a caller that asks for a version no upstream has no longer takes them out of use

Callers saw 503 for a service after one caller had sent a few requests with an Expect-Version that no upstream has.

Cause: an upstream refuses such a request with 421, the status with which a process refuses requests for another one at its address; the gateway excluded the upstream until it registered anew.

A 421 to a request whose caller has named a version says nothing of the upstream. The other meaning still shows in all requests that name none. The new spec fails on (503 to the next ordinary request) and passes now.

--- a/src/process/gateway/types.ts
+++ b/src/process/gateway/types.ts
@@ -77,6 +77,8 @@
   /** Time limit of the caller in milliseconds, counted from the arrival of the request. */
   readonly deadlineMs?: number | undefined;
   readonly key?: string | undefined;
+  /** Whether it asks for one version of the upstream, so that others refuse it. */
+  readonly hasVersion?: boolean;
   /** Id of the last event that the caller has received; undefined for a new stream. */
   readonly lastEventId?: number | undefined;
   readonly promptTokens?: number | undefined;
--- a/src/request/forwarding/attemptHandlers.ts
+++ b/src/request/forwarding/attemptHandlers.ts
@@ -62,6 +62,8 @@
     const { balancer, directory } = forwarding.context;
     const now = forwarding.context.readClock();
     const { faultyAddress, isInstanceMismatch } = outcome.head;
+    // The caller may have asked for a version that no upstream has, which says nothing about this one.
+    if (isInstanceMismatch && forwarding.metadata.hasVersion === true) return undefined;
     // A refusal that names a faulty rank, even the refusing one, applies to all ranks of the group, unless the upstream
     // is full.
     if (isInstanceMismatch) directory.markReplaced(reservation.upstream);
