fix: a link holds little before its peer has said hello

A crowd at the port for links took 556 MB: 200 connections that each sent all but the last byte of a frame of 2 MB.

Cause: a connection could send a frame of the largest size before its hello, the number of such connections was not bounded, and an incomplete frame was joined anew on each read, which takes time with the square of its size.

The first frame may have 64 KB, 64 connections may be without a hello (beyond them the oldest is closed), and an incomplete frame is collected in segments.

--- a/src/connection/bodyBuffer.ts
+++ b/src/connection/bodyBuffer.ts
@@ -29,10 +29,10 @@
    *
    * @param part - Part of the body; not changed later
    */
-  add(part: Buffer<ArrayBuffer>): void {
+  add(part: Buffer): void {
     // A body in one part is not copied.
     if (this.size === 0 && part.length === this.expectedLength) {
-      this.last = part;
+      this.last = part as Buffer<ArrayBuffer>;
       this.lastLength = part.length;
       return;
     }
--- a/src/connection/frameCodec.ts
+++ b/src/connection/frameCodec.ts
@@ -1,6 +1,7 @@
 import { Decoder, Encoder } from 'cbor-x';
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
+import { BodyBuffer } from './bodyBuffer.js';
 import { hotPathValidators } from '../protocol/hotPathValidators.js';
 import type { Message, MessageType } from '../protocol/messages.js';
 import { messageRegistry } from '../protocol/messages.js';
@@ -68,11 +69,22 @@
   return Ok(parsed.data as Message);
 }
 
-/** Splits a byte stream into messages; buffers an incomplete frame between calls. */
+/** Splits a byte stream into messages; keeps an incomplete frame between calls. */
 export class FrameReader {
-  private pending: Buffer = Buffer.alloc(0);
+  private partial: BodyBuffer | undefined;
+  /** Size of `partial` from which on it can be read further. */
+  private neededBytes = 0;
 
-  constructor(private readonly maxFrameBytes: number) {}
+  private hasRead = false;
+
+  /**
+   * @param maxFrameBytes - Largest frame
+   * @param maxFirstBytes - Largest first frame, before the peer is known
+   */
+  constructor(
+    private readonly maxFrameBytes: number,
+    private readonly maxFirstBytes = maxFrameBytes,
+  ) {}
 
   /**
    * Reads received bytes.
@@ -81,25 +93,44 @@
    * @returns The messages completed by these bytes, or the first error
    */
   readMessages(data: Buffer): Result<Message[], FrameError> {
-    this.pending = this.pending.length === 0 ? data : Buffer.concat([this.pending, data]);
+    const bytes = this.addPartial(data);
     const messages: Message[] = [];
     let offset = 0;
-    while (this.pending.length - offset >= HEADER_BYTES) {
-      const length = this.pending.readUInt32BE(offset);
-      if (length > this.maxFrameBytes) {
+    while (bytes.length - offset >= HEADER_BYTES) {
+      const length = bytes.readUInt32BE(offset);
+      if (length > (this.hasRead ? this.maxFrameBytes : this.maxFirstBytes)) {
         return Err({
           code: 'frame_too_large',
           message: `frame of ${length} bytes exceeds the limit`,
         });
       }
       const bodyEnd = offset + HEADER_BYTES + length;
-      if (this.pending.length < bodyEnd) break;
-      const decoded = decodeBody(this.pending.subarray(offset + HEADER_BYTES, bodyEnd));
+      if (bytes.length < bodyEnd) break;
+      const decoded = decodeBody(bytes.subarray(offset + HEADER_BYTES, bodyEnd));
       if (decoded.isErr()) return decoded;
       messages.push(decoded.value);
+      this.hasRead = true;
       offset = bodyEnd;
     }
-    this.pending = this.pending.subarray(offset);
+    this.keepPartial(bytes.subarray(offset));
     return Ok(messages);
   }
+
+  /** Adds received bytes to an incomplete frame. Joining them on each read would take time with the square of its size. */
+  private addPartial(data: Buffer): Buffer {
+    const { partial } = this;
+    if (partial === undefined) return data;
+    partial.add(data);
+    if (partial.size < this.neededBytes) return Buffer.alloc(0);
+    this.partial = undefined;
+    return partial.take();
+  }
+
+  private keepPartial(bytes: Buffer): void {
+    if (bytes.length === 0) return;
+    const hasHeader = bytes.length >= HEADER_BYTES;
+    this.neededBytes = HEADER_BYTES + (hasHeader ? bytes.readUInt32BE(0) : 0);
+    this.partial = new BodyBuffer(Number.NaN);
+    this.partial.add(bytes);
+  }
 }
--- a/src/connection/handshake.ts
+++ b/src/connection/handshake.ts
@@ -7,6 +7,9 @@
 import type { Hello, PeerLinkOptions } from './peerLink.js';
 import { PeerLink } from './peerLink.js';
 
+/** A hello is far smaller; a larger first frame is not from a peer. */
+const MAX_HELLO_BYTES = 64 * 1024;
+
 export interface HandshakeError {
   readonly code:
     'hello_timeout' | 'closed' | 'version_mismatch' | 'protocol_error' | 'invalid_address';
@@ -27,7 +30,8 @@
   options: PeerLinkOptions,
 ): Promise<Result<PeerLink, HandshakeError>> {
   socket.write(encodeFrame(self));
-  const reader = new FrameReader(options.maxFrameBytes ?? defaults.maxFrameBytes);
+  const maxFrameBytes = options.maxFrameBytes ?? defaults.maxFrameBytes;
+  const reader = new FrameReader(maxFrameBytes, Math.min(maxFrameBytes, MAX_HELLO_BYTES));
   const first = await readFirstMessages(socket, reader);
   if (first.isErr()) {
     socket.destroy();
--- a/src/connection/linkServer.ts
+++ b/src/connection/linkServer.ts
@@ -6,6 +6,9 @@
 import type { Hello, PeerLink, PeerLinkOptions } from './peerLink.js';
 import type { TlsMaterial } from './tlsOptions.js';
 
+/** Connections that have not said hello; beyond them the oldest is closed. */
+const MAX_PENDING = 64;
+
 export interface LinkServerOptions extends PeerLinkOptions {
   readonly host: string;
   /** Port to bind; 0 selects a free port. */
@@ -19,6 +22,7 @@
 /** Accepts links from peers. */
 export class LinkServer {
   readonly links = new Set<PeerLink>();
+  private readonly pending = new Set<Socket>();
   private readonly server: Server;
 
   constructor(private readonly options: LinkServerOptions) {
@@ -56,7 +60,14 @@
   }
 
   private async accept(socket: Socket): Promise<void> {
+    this.pending.add(socket);
+    const [oldest] = this.pending;
+    if (oldest !== undefined && this.pending.size > MAX_PENDING) {
+      this.pending.delete(oldest);
+      oldest.destroy();
+    }
     const handshake = await performHandshake(socket, this.options.self(), this.options);
+    this.pending.delete(socket);
     if (handshake.isErr()) {
       this.options.onRefused?.(handshake.error);
       return;
