fix: the ports for readiness, metrics and operators bound their connections and heads

A crowd at the ready port or the metrics port of a gateway used a descriptor for each connection (625 with 600 connections) and could leave heads unfinished for 60 s; a gateway without descriptors reaches no upstream.

Cause: these servers had the default limits of Node.

Operator ports with TLS keep the limits of Node; only holders of a certificate get to a request.

--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -1,5 +1,4 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { createServer } from 'node:http';
 import { randomUUID } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -20,6 +19,7 @@
 import { RequestDurations } from '../../request/forwarding/requestDurations.js';
 import type { ForwardingContext, RequestProgress } from '../../request/forwarding/types.js';
 import { SlidingWindowBudget } from '../../request/retry/slidingWindowBudget.js';
+import { createControlServer } from '../controlServer.js';
 import type { Logger } from '../logging.js';
 import { Metrics } from '../metrics.js';
 import { startMetricsServer } from '../metricsServer.js';
@@ -250,7 +250,7 @@
       },
       () => this.readClock(),
     );
-    this.ready = createServer();
+    this.ready = createControlServer();
     const snapshots = new PeerSnapshots({
       incarnation: this.incarnation,
       metrics: this.metrics,
--- a/src/process/metricsServer.ts
+++ b/src/process/metricsServer.ts
@@ -1,6 +1,6 @@
 import type { Server, ServerResponse } from 'node:http';
-import { createServer } from 'node:http';
 import polka from 'polka';
+import { createControlServer } from './controlServer.js';
 import type { Metrics } from './metrics.js';
 
 /**
@@ -15,7 +15,7 @@
   readonly metrics: Metrics;
   dump(): unknown;
 }): Server {
-  const server = createServer();
+  const server = createControlServer();
   polka({ server })
     .get('/metrics', (_request: unknown, response: ServerResponse) => {
       response.setHeader('Content-Type', 'text/plain');
--- a/src/process/operatorServer.ts
+++ b/src/process/operatorServer.ts
@@ -1,8 +1,8 @@
 import type { Server } from 'node:http';
-import { createServer } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
 import type { AddressInfo } from 'node:net';
 import polka from 'polka';
+import { createControlServer } from './controlServer.js';
 import type { TlsMaterial } from '../connection/tlsOptions.js';
 
 /** Handlers that return JSON response bodies, by path. */
@@ -27,7 +27,7 @@
 }): Promise<OperatorServer> {
   const server: Server =
     options.tls === undefined
-      ? createServer()
+      ? createControlServer()
       : createTlsServer({ ...options.tls, requestCert: true, rejectUnauthorized: true });
   const app = polka({ server });
   for (const [path, answer] of Object.entries(options.routes)) {
