perf: small requests pass the reader of a connection, and the count of memory, at little cost

With the bounds, an entry took more processor time for each call.

Cause: each head and each body was passed to the parser on its own, each body had an abort controller and a hold, and each response an object for its unread part.

Bytes of up to 4 KB with the end of one head at most are passed on at once; holds and the count of an unread response exist from 16 KB on; a body is received without a controller of its own. The specs of random streams of requests pass.

--- a/src/connection/boundedServer.ts
+++ b/src/connection/boundedServer.ts
@@ -2,6 +2,7 @@
 import { createServer, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerMemory } from './callerMemory.js';
+import { RESERVED_BYTES } from './callerMemory.js';
 import type { ReaderOptions, RequestLimits } from './requestReader.js';
 import { ReaderLoad, RequestReader } from './requestReader.js';
 import type { UnreadResponse } from './unreadResponse.js';
@@ -21,26 +22,34 @@
 
 /** Response that counts as in progress from the head of its request on, also if Node itself writes it. */
 class TrackedResponse<Request extends IncomingMessage> extends ServerResponse<Request> {
-  private readonly unread: UnreadResponse | undefined;
+  private readonly reader: RequestReader | undefined;
+  private unread: UnreadResponse | undefined;
 
   constructor(...args: unknown[]) {
     super(...(args as [Request]));
-    const reader = readers.get(this.req.socket);
-    reader?.track(this);
-    this.unread = reader?.createUnread(this);
+    this.reader = readers.get(this.req.socket);
+    this.reader?.track(this);
   }
 
   override write(...args: unknown[]): boolean {
     const hasRoom = super.write(...(args as Parameters<ServerResponse<Request>['write']>));
-    if (!hasRoom) this.unread?.update();
+    if (!hasRoom) this.countUnread();
     return hasRoom;
   }
 
   override end(...args: unknown[]): this {
     super.end(...(args as Parameters<ServerResponse<Request>['end']>));
-    this.unread?.update();
+    this.countUnread();
     return this;
   }
+
+  private countUnread(): void {
+    if (this.unread === undefined) {
+      if (this.writableLength <= RESERVED_BYTES) return;
+      this.unread = this.reader?.createUnread(this);
+    }
+    this.unread?.update();
+  }
 }
 
 /**
--- a/src/connection/requestReader.ts
+++ b/src/connection/requestReader.ts
@@ -173,11 +173,31 @@
 
   private receive(bytes: Buffer): void {
     if (this.isDiscarding) return;
+    if (
+      this.held.length === 0 &&
+      !this.isScheduled &&
+      this.mayParse() &&
+      this.tryPassWhole(bytes)
+    ) {
+      return;
+    }
     this.held.push({ bytes, receivedAt: this.options.readClock() });
     this.heldByteCount += bytes.length;
     this.passHeld();
   }
 
+  /** Passes bytes on at once that are short and hold the end of one head at most, as those of most requests do. */
+  private tryPassWhole(bytes: Buffer): boolean {
+    if (bytes.length > SHORT_SLICE_BYTES || this.isInBody) return false;
+    const headEnd = bytes.indexOf(HEAD_END) + HEAD_END.length;
+    if (headEnd >= HEAD_END.length && bytes.includes(HEAD_END, headEnd)) return false;
+    const { last } = this;
+    this.parse(bytes);
+    if (this.last !== last) this.bodyLeft = this.readContentLength() - (bytes.length - headEnd);
+    if (this.isSuspended) this.pause();
+    return true;
+  }
+
   /**
    * Passes held bytes on, each time up to the end of one head or body at most, and one head in a turn of the event loop:
    * requests that are answered at once would otherwise keep other connections from being read.
@@ -245,10 +265,14 @@
     const { last } = this;
     this.bodyLeft -= end;
     this.parse(end === bytes.length ? bytes : bytes.subarray(0, end));
-    if (this.last !== last) this.bodyLeft = Number(this.last?.req.headers['content-length']);
+    if (this.last !== last) this.bodyLeft = this.readContentLength();
     return true;
   }
 
+  private readContentLength(): number {
+    return this.isInBody ? Number(this.last?.req.headers['content-length']) : 0;
+  }
+
   /** Finds the end of the body with a length, or of the next head; the last chunk of a body ends like a head. */
   private findSliceEnd(bytes: Buffer): number {
     if (this.isInBody && this.bodyLeft > 0) return Math.min(this.bodyLeft, bytes.length);
--- a/src/connection/unreadResponse.ts
+++ b/src/connection/unreadResponse.ts
@@ -1,6 +1,5 @@
 import type { ServerResponse } from 'node:http';
 import type { CallerMemory, MemoryHold } from './callerMemory.js';
-import { RESERVED_BYTES } from './callerMemory.js';
 
 /** Counts the part of a response that its caller has not read; the connection is closed when its memory is needed. */
 export class UnreadResponse {
@@ -14,10 +13,8 @@
 
   /** Counts what has been written and not been handed to the operating system. */
   update(): void {
-    const bytes = this.response.writableLength;
-    if (this.hold === undefined && bytes <= RESERVED_BYTES) return;
     this.hold ??= this.openHold();
-    this.hold.resize(bytes, this.readClock());
+    this.hold.resize(this.response.writableLength, this.readClock());
   }
 
   private openHold(): MemoryHold {
--- a/src/request/forwarding/forwardRequest.ts
+++ b/src/request/forwarding/forwardRequest.ts
@@ -2,8 +2,8 @@
 import { setImmediate as waitForTurn } from 'node:timers/promises';
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
-import type { BodyFailure, ReceivedBody } from '../../connection/receiveBody.js';
-import { receiveBody } from '../../connection/receiveBody.js';
+import type { BodyFailure, ReceivedBody } from '../../connection/bodyReceiver.js';
+import { BodyReceiver } from '../../connection/bodyReceiver.js';
 import type { Fingerprint } from '../../ids.js';
 import { toId } from '../../ids.js';
 import type { Refusal } from '../admission/types.js';
@@ -90,7 +90,7 @@
   // A body that came slowly may have taken the time that was left.
   if (refuseAtStop()) {
     clearTimeout(timer);
-    release();
+    release?.();
     return;
   }
   observeDisconnect(exchange, () => {
@@ -141,7 +141,7 @@
     removeRunning();
     unregister();
     clearTimeout(timer);
-    release();
+    release?.();
   }
 }
 
@@ -161,14 +161,20 @@
   { held, workspace }: AdmittedRequest,
 ): Promise<Result<ReceivedBody, BodyRefusal>> {
   const { signal } = controller;
-  const received = await receiveBody(request, {
+  if (signal.aborted) return Err(bodyRefusals.aborted(signal.reason as AbortReason));
+  const receiver = new BodyReceiver(request, {
     maxBytes: held.configuration.limits.maxBodyBytes,
     memory: context.callerMemory,
     group: workspace?.id ?? '',
     reader,
-    signal,
     readClock: () => context.readClock(),
   });
+  const abort = (): void => {
+    receiver.abort();
+  };
+  signal.addEventListener('abort', abort);
+  const received = await receiver.receive();
+  signal.removeEventListener('abort', abort);
   if (received.isOk()) return Ok(received.value);
   return Err(bodyRefusals[received.error](signal.reason as AbortReason));
 }
--- a/src/request/http/readBody.ts
+++ b/src/request/http/readBody.ts
@@ -2,8 +2,8 @@
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
 import { CallerMemory } from '../../connection/callerMemory.js';
-import type { BodyFailure } from '../../connection/receiveBody.js';
-import { receiveBody } from '../../connection/receiveBody.js';
+import type { BodyFailure } from '../../connection/bodyReceiver.js';
+import { BodyReceiver } from '../../connection/bodyReceiver.js';
 import type { RequestReader } from '../../connection/requestReader.js';
 import { defaults } from '../../defaults.js';
 import type { RequestError } from '../../errors.js';
@@ -11,8 +11,6 @@
 
 /** Time after which memory for a body is expected. */
 const MEMORY_RETRY_AFTER_MS = 1_000;
-/** Reason with which the wait for a body is aborted at its time limit. */
-const BODY_TIMEOUT = 'timeout';
 
 export interface BodyLimits {
   readonly maxBytes: number;
@@ -25,7 +23,7 @@
   /** Requests of one group get memory after those of groups that hold less. */
   readonly group?: string;
   readonly reader?: Pick<RequestReader, 'suspend' | 'resume'>;
-  /** Called with the function that releases the memory of the body, at the end of the request. */
+  /** Called with the function that releases the memory of a large body, for the end of the request. */
   readonly onReceived?: (release: () => void) => void;
 }
 
@@ -44,32 +42,33 @@
   limits: BodyLimits,
 ): Promise<Result<Buffer<ArrayBuffer>, RequestError>> {
   const { maxBytes, timeoutMs = defaults.bodyTimeoutMs, stopSignal, onReceived } = limits;
-  const controller = new AbortController();
-  const stop = (): void => {
-    controller.abort();
-  };
-  const timer = setTimeout(() => {
-    controller.abort(BODY_TIMEOUT);
-  }, timeoutMs);
-  stopSignal?.addEventListener('abort', stop, { once: true });
-  const received = await receiveBody(request, {
+  let hasTimedOut = false;
+  const receiver = new BodyReceiver(request, {
     maxBytes,
     memory: limits.memory ?? unlimited,
     group: limits.group ?? '',
     reader: limits.reader ?? noReader,
-    signal: controller.signal,
     readClock: Date.now,
   });
+  const stop = (): void => {
+    receiver.abort();
+  };
+  const timer = setTimeout(() => {
+    hasTimedOut = true;
+    receiver.abort();
+  }, timeoutMs);
+  stopSignal?.addEventListener('abort', stop, { once: true });
+  const received = await receiver.receive();
   clearTimeout(timer);
   stopSignal?.removeEventListener('abort', stop);
-  if (received.isErr()) return Err(createBodyError[received.error](limits, controller.signal));
+  if (received.isErr()) return Err(createBodyError[received.error](limits, hasTimedOut));
   const { bytes, release } = received.value;
-  onReceived?.(release);
+  if (release !== undefined) onReceived?.(release);
   return Ok(bytes ?? Buffer.alloc(0));
 }
 
 const createBodyError: Readonly<
-  Record<BodyFailure, (limits: BodyLimits, signal: AbortSignal) => RequestError>
+  Record<BodyFailure, (limits: BodyLimits, hasTimedOut: boolean) => RequestError>
 > = {
   too_large: ({ maxBytes }) => createError('too_large', `body exceeds ${maxBytes} bytes`),
   closed: () => createError('cancelled', 'the client closed the connection'),
@@ -79,8 +78,8 @@
       'no memory is left for the body; nothing was run',
       MEMORY_RETRY_AFTER_MS,
     ),
-  aborted: ({ timeoutMs = defaults.bodyTimeoutMs }, { reason }) =>
-    reason === BODY_TIMEOUT
+  aborted: ({ timeoutMs = defaults.bodyTimeoutMs }, hasTimedOut) =>
+    hasTimedOut
       ? createError('timeout', `body did not arrive within ${timeoutMs} ms`)
       : createError(
           'draining',
