fix: a stop answers requests that were sent ahead, and less memory is held for callers

A stopping gateway announced the close of a connection in a response behind which requests had been received that were not parsed yet, so that they ended without a response. The close is now announced only in the response to the last request that has been received; the others are parsed and refused (not run) as before. New spec in callerConnection.spec.ts; it fails without the change.

A single body or response may exceed the limit by any size, so that the largest that is allowed fits on the smallest host.

--- a/src/connection/callerConnection.spec.ts
+++ b/src/connection/callerConnection.spec.ts
@@ -51,6 +51,16 @@
     expect(connection.isClosing).to.equal(true);
   });
 
+  // A request that was sent ahead has been received, and would end without a response.
+  it('guards against an announced close before the response to a request that is not parsed yet', () => {
+    const reader = { hasRequestAhead: true, discard: () => undefined };
+    const connection = new CallerConnection<string>(accepted, 0, reader);
+    connection.add('first');
+    expect(connection.tryAnnounceClose('first')).to.equal(false);
+    reader.hasRequestAhead = false;
+    expect(connection.tryAnnounceClose('first')).to.equal(true);
+  });
+
   // A caller sends its next request right after a response.
   it('guards against a connection that counts as idle right after a response', () => {
     const connection = new CallerConnection<string>(accepted, 0);
--- a/src/connection/callerConnection.ts
+++ b/src/connection/callerConnection.ts
@@ -32,7 +32,7 @@
   constructor(
     private readonly socket: Socket,
     private idleSince: number,
-    private readonly reader?: Pick<RequestReader, 'discard'>,
+    private readonly reader?: Pick<RequestReader, 'discard' | 'hasRequestAhead'>,
   ) {
     this.lastUsedAt = idleSince;
     // Node calls this after a response that announces the close. It would close the socket at once, and bytes that the
@@ -172,7 +172,8 @@
   /**
    * Decides whether a response may announce the close of the connection.
    *
-   * Node writes no response after such a one, so only that to the last request may. Later requests are ignored.
+   * Node writes no response after such a one, so only that to the last request may, also of those that have been received
+   * and not parsed. Later requests are ignored.
    *
    * @param exchange - Exchange whose head is about to be written
    * @returns True if it is the last one; the connection is closing from then on
@@ -181,6 +182,7 @@
     let last: Exchange | undefined;
     for (const other of this.unfinished) last = other;
     if (last !== exchange) return false;
+    if (!this.isEnding && this.reader?.hasRequestAhead === true) return false;
     this.hasAnnouncedClose = true;
     return true;
   }
--- a/src/connection/callerMemory.ts
+++ b/src/connection/callerMemory.ts
@@ -187,9 +187,9 @@
     hold.options.resume?.();
   }
 
-  /** Whether a hold may take more. The largest one may exceed the limit, so that holds do not wait for each other. */
+  /** Whether a hold may take more. The largest one may exceed the limit, so that holds do not wait for each other, and a single one by any size. */
   private mayGrow(hold: MemoryHold): boolean {
-    if (this.usedBytes <= this.maxBytes) return true;
+    if (this.usedBytes <= this.maxBytes || this.holds.size === 1) return true;
     return this.usedBytes <= this.hardLimit && this.findLargest() === hold;
   }
 
--- a/src/connection/requestReader.ts
+++ b/src/connection/requestReader.ts
@@ -119,6 +119,11 @@
     return this.heldByteCount + this.socket.readableLength;
   }
 
+  /** Whether a part of another request than the last one has been received. */
+  get hasRequestAhead(): boolean {
+    return !this.isInBody && this.heldBytes > 0;
+  }
+
   /** When the bytes were received that the parser is reading, in milliseconds; undefined unless they were held. */
   get heldSince(): number | undefined {
     return this.arrivedAt;
--- a/src/process/settings/gatewaySettings.ts
+++ b/src/process/settings/gatewaySettings.ts
@@ -98,7 +98,7 @@
 const CALLER_DESCRIPTOR_SHARE = 0.5;
 const CONNECTIONS_PER_MB = 5;
 /** Share of the memory of the host for bodies and unread responses. */
-const HELD_MEMORY_SHARE = 1 / 8;
+const HELD_MEMORY_SHARE = 0.1;
 const BYTES_PER_MB = 1024 * 1024;
 
 interface HostLimits {
