fix: many bodies in small chunks leave the process time to accept connections

With 400 callers that sent bodies in chunks of one byte (trial; the crowds of the tests have 60), eight ordinary requests of 8 s each were not answered.

Cause: Node accepts one connection in a turn of the event loop, and a turn took about 50 ms: the share of it for long slices was 256 KB, which is 45 ms of chunks of one byte (1.1 ms for 6 KB, measured). The ordinary connections were accepted after more than 8 s, and then answered in 0.2 s. Besides, what waited for the next turn went back to the socket, which read further each time.

Long slices are cut to 16 KB and have 4 ms of a turn, and what waits is kept by the reader while the socket is paused.

--- a/src/connection/callerMemory.ts
+++ b/src/connection/callerMemory.ts
@@ -3,7 +3,7 @@
 /** Bytes that each body, and each response, may hold in any case, so that small ones are not affected by large ones. */
 export const RESERVED_BYTES = 16 * 1024;
 /** Bytes that the socket of a suspended connection reads in advance at most. */
-const READ_AHEAD_BYTES = 64 * 1024;
+export const READ_AHEAD_BYTES = 64 * 1024;
 /** A hold without progress for this long is ended while others wait for memory. */
 const STALL_MS = 1_000;
 /** Share of the limit above it from which holds are ended at once. */
--- a/src/connection/requestReader.ts
+++ b/src/connection/requestReader.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerMemory, MemoryHold } from './callerMemory.js';
+import { READ_AHEAD_BYTES } from './callerMemory.js';
 import { UnreadResponse } from './unreadResponse.js';
 
 const HEAD_END = '\r\n\r\n';
@@ -10,33 +11,33 @@
  */
 const MAX_HELD_BYTES = 4 * 1024;
 
-/** Bytes of longer slices that all connections of a server may have parsed in one turn of the event loop. */
-const MAX_TURN_BYTES = 256 * 1024;
+/** Time that slices which are not short may take in one turn of the event loop, which accepts one connection. */
+const MAX_TURN_MS = 4;
 /** Slices up to this size are parsed in any case, so that short requests do not wait for long ones. */
 const SHORT_SLICE_BYTES = 4 * 1024;
+/** 16 KB of a body in chunks of one byte take about 3 ms. */
+const MAX_SLICE_BYTES = 16 * 1024;
 
 /** What the connections of a server share. */
 export class ReaderLoad {
   /** Requests in progress of all connections. */
   inProgress = 0;
-  private turnBytes = 0;
+  private turnStartedAt: number | undefined;
 
   /**
-   * Takes a slice of the present turn of the event loop. A body in chunks of one byte takes some milliseconds for each
-   * 64 KB, and with many of them other callers would wait for seconds.
+   * Takes a slice of the present turn of the event loop.
    *
    * @param bytes - Size of the slice
+   * @param now - Current time in milliseconds
    * @returns False if it has to wait for the next turn
    */
-  tryTakeTurn(bytes: number): boolean {
+  tryTakeTurn(bytes: number, now: number): boolean {
     if (bytes <= SHORT_SLICE_BYTES) return true;
-    if (this.turnBytes >= MAX_TURN_BYTES) return false;
-    if (this.turnBytes === 0) {
-      setImmediate(() => {
-        this.turnBytes = 0;
-      });
-    }
-    this.turnBytes += bytes;
+    if (this.turnStartedAt !== undefined) return now - this.turnStartedAt < MAX_TURN_MS;
+    this.turnStartedAt = now;
+    setImmediate(() => {
+      this.turnStartedAt = undefined;
+    });
     return true;
   }
 }
@@ -82,8 +83,7 @@
   private isSuspended = false;
   private isDiscarding = false;
   private hasPaused = false;
-  /** Memory of the bytes that the socket has got back. */
-  private returned: MemoryHold | undefined;
+  private heldMemory: MemoryHold | undefined;
   private arrivedAt: number | undefined;
 
   /**
@@ -111,6 +111,7 @@
       options.load.inProgress -= this.inProgress.size;
       this.inProgress.clear();
       this.discard();
+      this.heldMemory?.release();
     });
   }
 
@@ -172,7 +173,6 @@
     this.isDiscarding = true;
     this.held.length = 0;
     this.heldByteCount = 0;
-    this.returned?.release();
     this.updateFlow();
   }
 
@@ -199,7 +199,7 @@
     const { last } = this;
     this.parse(bytes);
     if (this.last !== last) this.bodyLeft = this.readContentLength() - (bytes.length - headEnd);
-    if (this.isSuspended) this.pause();
+    if (this.isSuspended) this.updateFlow();
     return true;
   }
 
@@ -225,8 +225,7 @@
     }
     this.arrivedAt = undefined;
     this.isPassing = false;
-    if (this.heldByteCount > MAX_HELD_BYTES) this.returnHeld();
-    if (!this.isScheduled) this.updateFlow();
+    this.updateFlow();
   }
 
   /** Goes on in the next turn of the event loop. */
@@ -239,30 +238,11 @@
     });
   }
 
-  /** Returns bytes to the socket, which reads no more while it has them. */
-  private returnHeld(): void {
-    if (this.socket.destroyed) return;
-    const bytes = Buffer.concat(this.held.map((part) => part.bytes));
-    this.held.length = 0;
-    this.heldByteCount = 0;
-    this.pause();
-    this.socket.unshift(bytes);
-    this.countReturned(bytes.length);
-  }
-
-  private countReturned(bytes: number): void {
-    const { memory, readClock } = this.options;
-    const evict = (): void => {
-      this.socket.destroy();
-    };
-    this.returned ??= memory?.open({ kind: 'ahead', group: '', evict }, readClock());
-    this.returned?.resize(bytes, readClock());
-  }
-
   /** Passes the next slice on, unless it has to wait for the next turn. */
   private passSlice({ bytes, receivedAt }: HeldBytes): boolean {
     const end = this.findSliceEnd(bytes);
-    if (!this.options.load.tryTakeTurn(end)) return false;
+    const { load, readClock } = this.options;
+    if (!load.tryTakeTurn(end, readClock())) return false;
     if (end === bytes.length) this.held.shift();
     else this.held[0] = { bytes: bytes.subarray(end), receivedAt };
     this.heldByteCount -= end;
@@ -280,9 +260,10 @@
 
   /** Finds the end of the body with a length, or of the next head; the last chunk of a body ends like a head. */
   private findSliceEnd(bytes: Buffer): number {
-    if (this.isInBody && this.bodyLeft > 0) return Math.min(this.bodyLeft, bytes.length);
+    const longest = Math.min(bytes.length, MAX_SLICE_BYTES);
+    if (this.isInBody && this.bodyLeft > 0) return Math.min(this.bodyLeft, longest);
     const headEnd = bytes.indexOf(HEAD_END);
-    return headEnd === -1 ? bytes.length : headEnd + HEAD_END.length;
+    return headEnd === -1 ? longest : Math.min(headEnd + HEAD_END.length, longest);
   }
 
   /** Whether the connection closes after the last request, so that what follows is not answered. */
@@ -312,18 +293,28 @@
   }
 
   private updateFlow(): void {
-    if (this.isSuspended) {
-      this.pause();
-      return;
+    if (this.socket.destroyed) return;
+    this.countHeld();
+    if (this.isSuspended || this.heldByteCount > MAX_HELD_BYTES) {
+      this.hasPaused = true;
+      this.socket.pause();
+    } else if (this.hasPaused) {
+      this.hasPaused = false;
+      this.socket.resume();
     }
-    if (!this.hasPaused || !(this.isDiscarding || this.mayParse())) return;
-    this.hasPaused = false;
-    this.returned?.release();
-    this.socket.resume();
   }
 
-  private pause(): void {
-    this.hasPaused = true;
-    this.socket.pause();
+  /** Counts what is held, with what a paused socket reads in advance. */
+  private countHeld(): void {
+    const { memory, readClock } = this.options;
+    if (this.heldByteCount <= MAX_HELD_BYTES) {
+      this.heldMemory?.release();
+      return;
+    }
+    const evict = (): void => {
+      this.socket.destroy();
+    };
+    this.heldMemory ??= memory?.open({ kind: 'ahead', group: '', evict }, readClock());
+    this.heldMemory?.resize(this.heldByteCount + READ_AHEAD_BYTES, readClock());
   }
 }
