--- a/src/connection/boundedServer.ts
+++ b/src/connection/boundedServer.ts
@@ -4,7 +4,8 @@
 import type { CallerMemory } from './callerMemory.js';
 import { RESERVED_BYTES } from './callerMemory.js';
 import type { ReaderOptions, RequestLimits } from './requestReader.js';
-import { ReaderLoad, RequestReader } from './requestReader.js';
+import { ReaderLoad } from './readerLoad.js';
+import { RequestReader } from './requestReader.js';
 import type { UnreadResponse } from './unreadResponse.js';
 
 /** Interval of the checks for heads that are late; that of Node is 30 s by default. */
--- a/src/connection/requestReader.ts
+++ b/src/connection/requestReader.ts
@@ -2,6 +2,8 @@
 import type { Socket } from 'node:net';
 import type { CallerMemory, MemoryHold } from './callerMemory.js';
 import { READ_AHEAD_BYTES } from './callerMemory.js';
+import type { ReaderLoad } from './readerLoad.js';
+import { SHORT_SLICE_BYTES } from './readerLoad.js';
 import { UnreadResponse } from './unreadResponse.js';
 
 const HEAD_END = '\r\n\r\n';
@@ -11,37 +13,9 @@
  */
 const MAX_HELD_BYTES = 4 * 1024;
 
-/** Time that slices which are not short may take in one turn of the event loop, which accepts one connection. */
-const MAX_TURN_MS = 4;
-/** Slices up to this size are parsed in any case, so that short requests do not wait for long ones. */
-const SHORT_SLICE_BYTES = 4 * 1024;
 /** 16 KB of a body in chunks of one byte take about 3 ms. */
 const MAX_SLICE_BYTES = 16 * 1024;
 
-/** What the connections of a server share. */
-export class ReaderLoad {
-  /** Requests in progress of all connections. */
-  inProgress = 0;
-  private turnStartedAt: number | undefined;
-
-  /**
-   * Takes a slice of the present turn of the event loop.
-   *
-   * @param bytes - Size of the slice
-   * @param now - Current time in milliseconds
-   * @returns False if it has to wait for the next turn
-   */
-  tryTakeTurn(bytes: number, now: number): boolean {
-    if (bytes <= SHORT_SLICE_BYTES) return true;
-    if (this.turnStartedAt !== undefined) return now - this.turnStartedAt < MAX_TURN_MS;
-    this.turnStartedAt = now;
-    setImmediate(() => {
-      this.turnStartedAt = undefined;
-    });
-    return true;
-  }
-}
-
 /** Bounds on the requests that are in progress at the same time. */
 export interface RequestLimits {
   readonly maxPerConnection: number;
