fix: an exchange that reads no longer breaks a paused one that it lets continue

Callers saw a gateway end after twenty large responses had been cut while others were read at the same time.

Cause: the responses of upstreams share a bounded memory. The end of one lets a paused one continue, or cuts it, from within the read of the first. The HTTP client has one parser at work at a time: it throws, the paused exchange counts as continued while its parser is paused, and when its connection is closed the client asserts that it is not paused, where nobody catches it. The guard of such errors ends the process after twenty in 10 s.

An exchange continues, or closes, after the current read has returned. One that was paused again by then stays paused.

--- a/src/request/forwarding/upstreamExchange.ts
+++ b/src/request/forwarding/upstreamExchange.ts
@@ -52,6 +52,7 @@
   private hasReset = false;
   private hasEnded = false;
   private controller: Dispatcher.DispatchController | undefined;
+  private isPaused = false;
   private readonly framing: FramingMeter;
   /** Whether bytes of the request may have reached the upstream. */
   mayHaveSent = false;
@@ -113,12 +114,18 @@
 
   /** Stops reading the response, so that flow control reaches the upstream. */
   pause(): void {
+    if (this.hasEnded) return;
+    this.isPaused = true;
     this.controller?.pause();
   }
 
   /** Continues to read a paused response. */
   resume(): void {
-    if (!this.hasEnded) this.controller?.resume();
+    this.isPaused = false;
+    // Another exchange may be reading, for example one whose end frees memory, and the client can't read two at once.
+    queueMicrotask(() => {
+      if (!this.hasEnded && !this.isPaused) this.controller?.resume();
+    });
   }
 
   private meterFraming(bytes: number): void {
@@ -165,9 +172,12 @@
   }
 
   private close(): void {
-    // The client throws, where nobody catches it, if its parser is paused when the connection is closed.
-    this.controller?.resume();
-    this.socket?.destroy();
-    void this.client?.destroy().catch(() => undefined);
+    // As in `resume`, another exchange may be reading.
+    queueMicrotask(() => {
+      // The client throws, where nobody catches it, if its parser is paused when the connection is closed.
+      this.controller?.resume();
+      this.socket?.destroy();
+      void this.client?.destroy().catch(() => undefined);
+    });
   }
 }
