fix: room that becomes free lets as many responses continue as it holds

The loop counts what each may read at most against the room that it found. The new test fails without that: five of five continue for the room of two.

--- a/src/connection/callerMemory.spec.ts
+++ b/src/connection/callerMemory.spec.ts
@@ -55,6 +55,16 @@
     expect(events).to.deep.equal(['suspended second', 'resumed second']);
   });
 
+  it('guards against more that read on than there is memory for, when they do so a little later', () => {
+    const first = open('first', 0);
+    fill(first, 255, 0);
+    for (const name of ['a', 'b', 'c', 'd', 'e', 'f']) fill(open(name, 10), 1, 10);
+    expect(events).to.deep.equal(['b', 'c', 'd', 'e', 'f'].map((name) => `suspended ${name}`));
+    // Leaves room for what two of them read.
+    fill(first, 243, 20);
+    expect(events.slice(5)).to.deep.equal(['resumed b', 'resumed c']);
+  });
+
   it('guards against bodies that move and end because of others that do not', () => {
     const stalled = open('stalled', 0);
     fill(stalled, 130, 0);
--- a/src/connection/callerMemory.ts
+++ b/src/connection/callerMemory.ts
@@ -168,13 +168,15 @@
   }
 
   private resumeWaiting(now: number): void {
-    // A resumed hold grows at once, which leads here again.
+    // A resumed hold may grow at once, which leads here again, or in the same turn of the event loop.
     if (this.isResuming) return;
     this.isResuming = true;
-    while (this.usedBytes < this.maxBytes) {
+    let room = this.maxBytes - this.usedBytes;
+    while (room > 0 && this.usedBytes < this.maxBytes) {
       const hold = this.findNextWaiting();
       if (hold === undefined) break;
       this.resume(hold, now);
+      room -= READ_AHEAD_BYTES;
     }
     this.isResuming = false;
   }
