fix: a forward step of the wall clock no longer ends the stop of a gateway

Callers saw their streams cut with seconds left when the wall clock of a stopping gateway was set forward.

Cause: the limit of the stop was measured with the clock that includes suspends of the host, and a step of the wall clock looks like one.

The end of the stop, and the time for which its listener stays open, are measured with the monotonic clock. After a true suspend the stop goes on for the time that it had left: a process that is killed earlier loses no more than one that ends its requests before. New work is judged as before, by the clock with suspends.

--- a/src/process/gateway/drainCallers.ts
+++ b/src/process/gateway/drainCallers.ts
@@ -30,9 +30,8 @@
 export async function drainCallers(options: DrainOptions): Promise<number> {
   const { callers, stop, metrics } = options;
   for (;;) {
-    const now = options.readClock();
-    callers.endLate(now);
-    const listeningMs = stop.computeListeningMs(now);
+    callers.endLate(options.readClock());
+    const listeningMs = stop.computeListeningMs(performance.now());
     if (listeningMs === 0) break;
     await sleep(Math.min(POLL_INTERVAL_MS, listeningMs));
   }
@@ -42,7 +41,7 @@
   do {
     // When the process was busy or paused, timers run before sockets are read. The same holds for the limit: responses
     // that came before it are delivered during the last interval.
-    isOver = stop.isOver(options.readClock());
+    isOver = stop.isOver(performance.now());
     await pollSocketsOnce();
     const now = options.readClock();
     callers.endLate(now);
@@ -52,9 +51,9 @@
   const unfinished = callers.countUnfinished();
   logUnfinished(options);
   callers.endAll();
-  await pollUntil(() => callers.countUnfinished() === 0, FLUSH_MS, options);
+  await pollUntil(() => callers.countUnfinished() === 0, FLUSH_MS);
   callers.closeAll();
-  await pollUntil(() => callers.size === 0, CLOSE_MS, options);
+  await pollUntil(() => callers.size === 0, CLOSE_MS);
   return unfinished;
 }
 
@@ -68,11 +67,7 @@
   }
 }
 
-async function pollUntil(
-  isDone: () => boolean,
-  timeoutMs: number,
-  { readClock }: DrainOptions,
-): Promise<void> {
-  const until = readClock() + timeoutMs;
-  while (!isDone() && readClock() < until) await sleep(POLL_INTERVAL_MS);
+async function pollUntil(isDone: () => boolean, timeoutMs: number): Promise<void> {
+  const until = performance.now() + timeoutMs;
+  while (!isDone() && performance.now() < until) await sleep(POLL_INTERVAL_MS);
 }
--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -426,7 +426,7 @@
     const { gracefulStop, callers, metrics } = this;
     const { logger } = this.dependencies;
     const now = this.readClock();
-    gracefulStop.begin(now, this.pauses.computeEarliestArrival(now));
+    gracefulStop.begin(now, performance.now(), this.pauses.computeEarliestArrival(now));
     logger.info({ active: callers.countUnfinished() }, 'draining');
     const readClock = (): number => this.readClock();
     const unfinished = await drainCallers({
@@ -502,7 +502,7 @@
     const deadlineAt = performance.now() + timeoutMs;
     const isLoaded = (): boolean => this.isConfigured() && this.directory.listAll().length > 0;
     const isWaiting = (): boolean =>
-      !isLoaded() && performance.now() < deadlineAt && !this.gracefulStop.isOver(this.readClock());
+      !isLoaded() && performance.now() < deadlineAt && !this.gracefulStop.isOver(performance.now());
     while (isWaiting()) await sleep(STARTUP_POLL_INTERVAL_MS);
   }
 
--- a/src/process/gateway/gracefulStop.ts
+++ b/src/process/gateway/gracefulStop.ts
@@ -5,9 +5,15 @@
   readonly listeningMs: number;
 }
 
-/** Times of the graceful stop of a process. */
+/**
+ * Times of the graceful stop of a process.
+ *
+ * New work is judged by a clock that includes suspends of the host, and the end of the stop by one that does not: a step
+ * of the wall clock looks like a suspend, and must not cut what has begun.
+ */
 export class GracefulStop {
   private startedAt: number | undefined;
+  private startedMonotonicAt: number | undefined;
   private earliestStartAt = Infinity;
   /** Time between the start of the stop and the end of all requests. */
   readonly limitMs: number;
@@ -26,12 +32,14 @@
   /**
    * Starts the stop; later calls change nothing.
    *
-   * @param now - Current time in milliseconds
+   * @param now - Current time in milliseconds, with suspends of the host
+   * @param monotonicNow - Current time in milliseconds, without suspends of the host
    * @param earliestStartAt - When the signal may have been sent, earlier than `now` if the process was paused
    */
-  begin(now: number, earliestStartAt = now): void {
+  begin(now: number, monotonicNow: number, earliestStartAt = now): void {
     if (this.startedAt !== undefined) return;
     this.startedAt = now;
+    this.startedMonotonicAt = monotonicNow;
     this.earliestStartAt = earliestStartAt;
   }
 
@@ -58,12 +66,12 @@
   /**
    * Computes the time until the listener closes, as the load balancer may still open connections to this process.
    *
-   * @param now - Current time in milliseconds
+   * @param monotonicNow - Current time in milliseconds, without suspends of the host
    * @returns Milliseconds, 0 once it is closed, `Infinity` unless the process is stopping
    */
-  computeListeningMs(now: number): number {
-    if (this.startedAt === undefined) return Infinity;
-    return Math.max(0, this.startedAt + this.listeningMs - now);
+  computeListeningMs(monotonicNow: number): number {
+    if (this.startedMonotonicAt === undefined) return Infinity;
+    return Math.max(0, this.startedMonotonicAt + this.listeningMs - monotonicNow);
   }
 
   /**
@@ -83,9 +91,10 @@
    * After a pause the limit counts from the end of the pause here: a process that is killed earlier loses no more than
    * one that ends its requests before.
    *
-   * @param now - Current time in milliseconds
+   * @param monotonicNow - Current time in milliseconds, without suspends of the host
    */
-  isOver(now: number): boolean {
-    return this.startedAt !== undefined && now >= this.startedAt + this.limitMs;
+  isOver(monotonicNow: number): boolean {
+    const { startedMonotonicAt } = this;
+    return startedMonotonicAt !== undefined && monotonicNow >= startedMonotonicAt + this.limitMs;
   }
 }
