fix: a gateway that lost the store asks the others while its reads are under way

Callers of the gateway that reads the store for the others could be refused for an old proof of their keys when it no longer reached the store.

Cause: it asked the others after each of its own reads had failed, by time-out 1,250 and 2,050 ms after the last good one. Another gateway reads from about 1,450 ms on, so the second question came after the 2,000 ms within which a proof is due.

After a failed read the others are asked every 200 ms while the next one is under way, as often as when reads fail at once.

--- a/src/process/gateway/storePolling.spec.ts
+++ b/src/process/gateway/storePolling.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { Err, Ok } from 'ts-results-es';
+import { waitMs } from '../../../test/support/waiting.js';
 import type { RoutingConfiguration } from '../../version/routing/types.js';
 import type { Logger, LogFields } from '../logging.js';
 import { Metrics } from '../metrics.js';
@@ -11,6 +12,8 @@
 import { UpstreamDirectory } from './upstreamDirectory.js';
 import { ZoneEvacuations } from './zoneEvacuations.js';
 
+const READ_TIMEOUT_MS = 600;
+
 const createConfiguration = (version: number): RoutingConfiguration => ({
   version,
   routes: [],
@@ -84,3 +87,51 @@
     ]);
   });
 });
+
+describe('polling of a store that does not answer', () => {
+  // A gateway asked the others only after the time-out of each of its own reads, when its keys had almost expired.
+  it('guards against a long time until the other gateways are asked again', async () => {
+    const controller = new AbortController();
+    const directory = new UpstreamDirectory();
+    const discard = (): void => undefined;
+    const logger: Logger = { debug: discard, info: discard, error: discard, warn: discard };
+    const queriedAt: number[] = [];
+    let reads = 0;
+    await maintainConfiguration({
+      source: {
+        readConfiguration: async () => {
+          reads += 1;
+          if (reads === 3) controller.abort();
+          await waitMs(READ_TIMEOUT_MS);
+          return Err({ code: 'timeout', message: '' });
+        },
+        readUpstreams: () => Promise.resolve(Err({ code: 'timeout', message: '' })),
+        decodeDocument: () => Err({ code: 'malformed', message: '' }),
+        close: discard,
+      },
+      configurationCache: new ConfigurationCache(1000),
+      directory,
+      evacuations: new ZoneEvacuations({ directory, logger, metrics: new Metrics() }),
+      storeEra: new StoreEra(),
+      contact: { recordFailure: discard },
+      logger,
+      metrics: new Metrics(),
+      signal: controller.signal,
+      timers: {
+        configuration: new PollTimer(controller.signal),
+        upstreams: new PollTimer(controller.signal),
+      },
+      readClock: () => performance.now(),
+      readMonotonicClock: () => performance.now(),
+      queryPeers: () => {
+        queriedAt.push(performance.now());
+        return Promise.resolve();
+      },
+      onChange: discard,
+      onUpstreamStarted: discard,
+    });
+    const gapsMs = queriedAt.slice(1).map((at, index) => at - (queriedAt[index] ?? 0));
+    expect(gapsMs.length).to.be.greaterThan(2);
+    expect(Math.max(...gapsMs)).to.be.below(READ_TIMEOUT_MS);
+  });
+});
--- a/src/process/gateway/storePolling.ts
+++ b/src/process/gateway/storePolling.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Result } from 'ts-results-es';
 import { Err } from 'ts-results-es';
 import type { UpstreamId } from '../../ids.js';
@@ -82,6 +83,7 @@
   const dependency = new DependencyStatusLog('configuration', logger, metrics);
   let last: LastRead | undefined;
   const evacuationLog = new UnreadableLog('evacuated zones', logger);
+  let hasFailed = false;
   while (!signal.aborted) {
     const wasServed = options.relay?.isServed === true;
     if ((await options.relay?.refresh()) === true) {
@@ -91,10 +93,13 @@
     if (wasServed) timers.upstreams.wake();
     const readStartedAt = options.readClock();
     const monotonicStartedAt = options.readMonotonicClock();
-    const answer = await source.readConfiguration(last);
+    const reading = source.readConfiguration(last);
+    if (hasFailed) await queryPeersDuring(reading, options);
+    const answer = await reading;
     const times = { readStartedAt, monotonicStartedAt };
     const read = checkEra(answer, options);
     const error = read.isErr() ? read.error : read.value.configurationError;
+    hasFailed = error !== undefined;
     if (read.isOk()) evacuationLog.record(read.value.unreadableEvacuations);
     if (error !== undefined) {
       options.contact.recordFailure(error, options.readClock());
@@ -112,6 +117,16 @@
   }
 }
 
+/** Asks the other gateways while a read is under way: after a failed one, its time-out would pass until they are asked. */
+async function queryPeersDuring(
+  reading: Promise<unknown>,
+  { queryPeers }: PollingOptions,
+): Promise<void> {
+  const ended = reading.then(() => true);
+  const wait = (): Promise<boolean> => sleep(RETRY_POLL_INTERVAL_MS, false);
+  while (!(await Promise.race([ended, wait()]))) await queryPeers(false);
+}
+
 async function applyConfigurationRead(
   options: PollingOptions,
   read: ConfigurationRead,
