--- a/src/process/gateway/storePolling.spec.ts
+++ b/src/process/gateway/storePolling.spec.ts
@@ -7,6 +7,7 @@
 import { ConfigurationCache } from './configurationCache.js';
 import { PollTimer } from './pollTimer.js';
 import { StoreEra } from './storeEra.js';
+import type { PollingOptions } from './storePolling.js';
 import { maintainConfiguration } from './storePolling.js';
 import type { ConfigurationPosition } from './types.js';
 import { UpstreamDirectory } from './upstreamDirectory.js';
@@ -21,6 +22,31 @@
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 });
 
+const discard = (): void => undefined;
+const silentLogger: Logger = { debug: discard, info: discard, error: discard, warn: discard };
+
+/** Creates all options but the store and the query of the other gateways. */
+function createOptions({ signal }: AbortController): Omit<PollingOptions, 'source' | 'queryPeers'> {
+  const directory = new UpstreamDirectory();
+  const logger = silentLogger;
+  const metrics = new Metrics();
+  return {
+    configurationCache: new ConfigurationCache(1000),
+    directory,
+    evacuations: new ZoneEvacuations({ directory, logger, metrics }),
+    storeEra: new StoreEra(),
+    contact: { recordFailure: discard },
+    logger,
+    metrics,
+    signal,
+    timers: { configuration: new PollTimer(signal), upstreams: new PollTimer(signal) },
+    readClock: () => performance.now(),
+    readMonotonicClock: () => performance.now(),
+    onChange: discard,
+    onUpstreamStarted: discard,
+  };
+}
+
 describe('polling of a restored store', () => {
   // Guards against revoked keys that a step of the wall clock, which counts as a suspend, makes valid again too early.
   it('guards against a step of the wall clock that ends the grace period', async () => {
@@ -32,19 +58,16 @@
       { era: 1, revision: 5 },
     ];
     const warnings: [LogFields, string][] = [];
-    const discard = (): void => undefined;
     const logger: Logger = {
-      debug: discard,
-      info: discard,
-      error: discard,
+      ...silentLogger,
       warn: (fields, message) => {
         warnings.push([fields, message]);
       },
     };
-    const directory = new UpstreamDirectory();
     let reads = 0;
     let steppedMs = 0;
     await maintainConfiguration({
+      ...createOptions(controller),
       source: {
         readConfiguration: () => {
           const position = positions[reads] ?? { era: 1, revision: 5 };
@@ -58,25 +81,13 @@
         close: discard,
       },
       configurationCache,
-      directory,
-      evacuations: new ZoneEvacuations({ directory, logger, metrics: new Metrics() }),
-      storeEra: new StoreEra(),
-      contact: { recordFailure: discard },
       logger,
-      metrics: new Metrics(),
-      signal: controller.signal,
-      timers: {
-        configuration: new PollTimer(controller.signal),
-        upstreams: new PollTimer(controller.signal),
-      },
       readClock: () => reads * 200 + steppedMs,
       readMonotonicClock: () => reads * 200,
       queryPeers: () => {
         steppedMs = 60_000;
         return Promise.resolve();
       },
-      onChange: discard,
-      onUpstreamStarted: discard,
     });
     expect(configurationCache.computeAge(0), 'only the read of the old era is a proof').to.equal(0);
     expect(warnings).to.deep.equal([
@@ -92,12 +103,10 @@
   // A gateway asked the others only after the time-out of each of its own reads, when its keys had almost expired.
   it('guards against a long time until the other gateways are asked again', async () => {
     const controller = new AbortController();
-    const directory = new UpstreamDirectory();
-    const discard = (): void => undefined;
-    const logger: Logger = { debug: discard, info: discard, error: discard, warn: discard };
     const queriedAt: number[] = [];
     let reads = 0;
     await maintainConfiguration({
+      ...createOptions(controller),
       source: {
         readConfiguration: async () => {
           reads += 1;
@@ -109,26 +118,10 @@
         decodeDocument: () => Err({ code: 'malformed', message: '' }),
         close: discard,
       },
-      configurationCache: new ConfigurationCache(1000),
-      directory,
-      evacuations: new ZoneEvacuations({ directory, logger, metrics: new Metrics() }),
-      storeEra: new StoreEra(),
-      contact: { recordFailure: discard },
-      logger,
-      metrics: new Metrics(),
-      signal: controller.signal,
-      timers: {
-        configuration: new PollTimer(controller.signal),
-        upstreams: new PollTimer(controller.signal),
-      },
-      readClock: () => performance.now(),
-      readMonotonicClock: () => performance.now(),
       queryPeers: () => {
         queriedAt.push(performance.now());
         return Promise.resolve();
       },
-      onChange: discard,
-      onUpstreamStarted: discard,
     });
     const gapsMs = queriedAt.slice(1).map((at, index) => at - (queriedAt[index] ?? 0));
     expect(gapsMs.length).to.be.greaterThan(2);
