--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -34,6 +34,11 @@
     defaultCount: 200,
     load: () => loadRun('./proofs/heldMaps.js', 'proveHeldMaps'),
   },
+  endless: {
+    summary: 'upstreams that send bytes without end affect neither the gateway nor other callers',
+    defaultCount: 3,
+    load: () => loadRun('./proofs/endless.js', 'proveEndless'),
+  },
   maps: {
     summary: 'ranks of a group use one expert map in every step',
     defaultCount: 200,
--- a/test/failures/endlessResponses.spec.ts
+++ b/test/failures/endlessResponses.spec.ts
@@ -102,7 +102,7 @@
     return worker;
   };
 
-  for (const part of Object.keys(endlessResponses) as EndlessPart[]) {
+  for (const part of Object.keys(endlessResponses) as (keyof typeof endlessResponses)[]) {
     // Without a bound, the body is kept in memory, or the bytes are read and discarded, until the time limit.
     it(`guards against reading a response without end; endless part: ${part}`, async () => {
       const worker = await start(part);
--- a/test/standins/endlessWorker.ts
+++ b/test/standins/endlessWorker.ts
@@ -12,8 +12,13 @@
   readonly start: (request: RawRequest) => string;
   /** Repeated until the connection closes. */
   readonly repeated: string;
+  /** Creates each following block instead, from the number of blocks before it. */
+  readonly createBlock?: (index: number) => string;
 }
 
+const EVENTS_PER_CHUNK = 500;
+const COMMENTS_PER_CHUNK = 1_000;
+
 const formatData = (size: number): string => `${size.toString(16)}\r\n${'a'.repeat(size)}\r\n`;
 const formatStreamHead = ({ requestId }: RawRequest): string =>
   formatHead(requestId, [EVENT_STREAM, CHUNKED]);
@@ -22,6 +27,15 @@
   return `${event.length.toString(16)}\r\n${event}\r\n`;
 };
 
+const formatBody = (content: string): string => `${content.length.toString(16)}\r\n${content}\r\n`;
+const formatNewEvents = (index: number): string => {
+  const events = Array.from({ length: EVENTS_PER_CHUNK }, (_, offset) =>
+    formatNumberedEvent(index * EVENTS_PER_CHUNK + offset + 1),
+  );
+  return formatBody(events.join(''));
+};
+const formatNumberedEvent = (id: number): string => `id: ${id}\ndata: ${'a'.repeat(72)}\n\n`;
+
 /** Responses without an end, by the part that does not end. */
 export const endlessResponses = {
   statusLine: { start: () => 'HTTP/1.1 200 ', repeated: 'a' },
@@ -64,7 +78,40 @@
   },
 } as const satisfies Record<string, EndlessResponse>;
 
-export type EndlessPart = keyof typeof endlessResponses;
+/** Responses without an end that cost far more than their bytes, or begin with a sound response. */
+export const endlessFloods = {
+  byteChunks: {
+    start: ({ requestId }) => formatHead(requestId, [CHUNKED]),
+    repeated: formatData(1),
+  },
+  manyComments: {
+    start: (request) => formatStreamHead(request) + formatEventChunk(1),
+    repeated: formatBody(': x\n\n'.repeat(COMMENTS_PER_CHUNK)),
+  },
+  newEvents: {
+    start: (request) => formatStreamHead(request),
+    repeated: '',
+    createBlock: formatNewEvents,
+  },
+  soundThenBytes: {
+    start: ({ requestId }) => `${formatHead(requestId, ['Content-Length: 2'])}ok`,
+    repeated: 'a',
+  },
+  nestedJson: {
+    start: ({ requestId }) => formatHead(requestId, [CHUNKED, 'Content-Type: application/json']),
+    repeated: formatBody('['.repeat(1_000)),
+  },
+} as const satisfies Record<string, EndlessResponse>;
+
+const allResponses: Readonly<Record<EndlessPart, EndlessResponse>> = {
+  ...endlessResponses,
+  ...endlessFloods,
+};
+
+export type EndlessPart = keyof typeof endlessResponses | keyof typeof endlessFloods;
+
+/** Names of all parts. */
+export const endlessParts = Object.keys(allResponses) as EndlessPart[];
 
 export interface EndlessWorker extends RawWorker {
   /** Bytes that the worker has handed to its connections. */
@@ -83,13 +130,16 @@
 export async function startEndlessWorker(id: string, part: EndlessPart): Promise<EndlessWorker> {
   let sentBytes = 0;
   let active = 0;
-  const response: EndlessResponse = endlessResponses[part];
-  const block = response.repeated.repeat(Math.ceil(BLOCK_BYTES / response.repeated.length));
-  const send = (socket: Socket): void => {
+  const response = allResponses[part];
+  const repeatedBlock = response.repeated.repeat(
+    Math.ceil(BLOCK_BYTES / Math.max(1, response.repeated.length)),
+  );
+  const send = (socket: Socket, index = 0): void => {
     if (socket.destroyed) return;
+    const block = response.createBlock?.(index) ?? repeatedBlock;
     sentBytes += block.length;
     socket.write(block, 'latin1', () => {
-      setImmediate(send, socket);
+      setImmediate(send, socket, index + 1);
     });
   };
   const worker = await startRawWorker(id, (socket, request) => {
--- /dev/null
+++ b/test/support/endlessCrowd.ts
@@ -0,0 +1,305 @@
+import { fork } from 'node:child_process';
+import { finished } from 'node:stream/promises';
+import { Client } from 'undici';
+import type { EndlessPart } from '../standins/endlessWorker.js';
+import { startRawWorker } from '../standins/rawWorker.js';
+import { buildProgram } from './compiledPrograms.js';
+import { HEAP_MB, MAX_MEMORY_BYTES } from './crowdRun.js';
+import type { PublishedWorker } from './gatewayFixture.js';
+import { startGatewayFixture } from './gatewayFixture.js';
+import type { GatewayProgram } from './gatewayProgram.js';
+import { startGatewayProgram, waitUntilProgramReady } from './gatewayProgram.js';
+import { readPeakMemory } from './processMemory.js';
+import { rootDirectory } from './processes.js';
+import { createStopRoutes, respondByPath } from './stopFixture.js';
+import { waitMs, waitUntil } from './waiting.js';
+
+const UPSTREAMS = 24;
+const ORDINARY_CALLERS = 10;
+/** Time that the sound upstream takes for a request. */
+const WORK_MS = 200;
+/** Time limit of all requests. */
+const DEADLINE_MS = 3_000;
+/** Target latency of ordinary requests. */
+const TARGET_LATENCY_MS = 1_000;
+/** Time after the limit within which a request must have ended; see the rule of late answers. */
+const MAX_LATE_MS = 500;
+/** Time after the limit at which a caller gives up. */
+const GIVE_UP_MS = 1_500;
+/** Pause of a caller before its next request. */
+const PAUSE_MS = 20;
+
+/** Requests to upstreams without end, and ordinary ones beside them. */
+export interface EndlessLoad {
+  /** Parts that do not end; the upstreams take them in turn. */
+  readonly parts: readonly EndlessPart[];
+  /** Callers of the faulty service, each on a kept connection. */
+  readonly callers: number;
+  /** Path of these callers, in turn. */
+  readonly paths: readonly string[];
+  readonly durationMs: number;
+}
+
+/** What a load has led to. */
+export interface EndlessOutcome {
+  readonly exit: number | string | null | undefined;
+  /** Largest resident memory of the gateway, in bytes. */
+  readonly peakBytes: number;
+  readonly ordinary: CallSummary;
+  readonly others: CallSummary;
+  /** Bytes that the faulty upstreams have sent. */
+  readonly sentBytes: number;
+  readonly log: readonly string[];
+  /** Text of the metrics endpoint at the end. */
+  readonly metrics: string;
+}
+
+/** How the requests of some callers ended. */
+export interface CallSummary {
+  answered: number;
+  /** Requests with another status than 200. */
+  failed: number;
+  /** Requests whose connection ended before the end of the response. */
+  cut: number;
+  /** Requests that had not ended `MAX_LATE_MS` after their time limit. */
+  late: number;
+  slowestMs: number;
+  readonly statuses: Record<string, number>;
+}
+
+/**
+ * Starts the gateway program with faulty upstreams of one service and a sound one of another, and calls both.
+ *
+ * @param load - Faulty parts and callers
+ * @returns What the callers saw
+ */
+export async function runEndlessLoad(load: EndlessLoad): Promise<EndlessOutcome> {
+  const host = await startEndlessHost(
+    Array.from(
+      { length: UPSTREAMS },
+      (_, index) => load.parts[index % load.parts.length] ?? 'unframed',
+    ),
+  );
+  const sound = await startRawWorker('i-sound', (socket, received) => {
+    void respondByPath(socket, received);
+  });
+  const fixture = await startGatewayFixture({ workers: 0, started: 0 });
+  fixture.publishWorker(sound, { slots: 64, service: 'ledger' });
+  for (const worker of host.workers) fixture.publishWorker(worker, { slots: 8 });
+  publishRoutes(fixture);
+  const gateway = await startGatewayProgram({
+    storePort: fixture.store.port,
+    stopLimitMs: 8_000,
+    heapMb: HEAP_MB,
+    sections: [`[host]\nmemory_mb=${MAX_MEMORY_BYTES / 1024 / 1024}`],
+  });
+  try {
+    await waitUntilProgramReady(gateway);
+    return await callBoth(load, gateway, host);
+  } finally {
+    gateway.child.kill('SIGKILL');
+    await gateway.ended;
+    host.close();
+    await fixture.close();
+    await sound.close();
+  }
+}
+
+function publishRoutes(fixture: Awaited<ReturnType<typeof startGatewayFixture>>): void {
+  const ordinary = {
+    host: 'app.example',
+    timeoutMs: DEADLINE_MS,
+    targetLatencyMs: TARGET_LATENCY_MS,
+    targetGapMs: 500,
+    priority: 1,
+    service: 'ledger',
+    public: false,
+    maxAttempts: 2,
+    name: 'ordinary',
+    prefix: '/ordinary/',
+    routeType: 'idempotent',
+  };
+  fixture.publishConfiguration(2, {
+    routes: [...createStopRoutes(DEADLINE_MS), ordinary],
+    services: ['assistant', 'ledger'].map((name) => ({
+      name,
+      healthPath: '/health',
+      maxConns: 100,
+    })),
+    tenants: [
+      { name: 'crowd', apiKeys: ['key-1'], priority: 1 },
+      { name: 'ordinary', apiKeys: ['key-2'], priority: 1 },
+    ],
+  });
+}
+
+/**
+ * Compares an outcome with the bounds of every load.
+ *
+ * @param outcome - What a load has led to
+ * @returns Broken bounds, none if all are kept
+ */
+export function listViolations({
+  exit,
+  peakBytes,
+  ordinary,
+  others,
+}: Omit<EndlessOutcome, 'log' | 'metrics'>): string[] {
+  const violations: string[] = [];
+  if (exit !== undefined) violations.push('the gateway ended');
+  if (peakBytes >= MAX_MEMORY_BYTES) violations.push('memory above that of the host');
+  if (ordinary.failed + ordinary.cut > 0) violations.push('ordinary request not served');
+  if (ordinary.slowestMs > TARGET_LATENCY_MS) violations.push('ordinary request beyond its target');
+  if (ordinary.late + others.late > 0) violations.push('request without an end in time');
+  return violations;
+}
+
+async function callBoth(
+  load: EndlessLoad,
+  gateway: GatewayProgram,
+  host: EndlessHost,
+): Promise<EndlessOutcome> {
+  let exit: EndlessOutcome['exit'];
+  void gateway.ended.then((ended) => {
+    exit = ended;
+  });
+  const pid = gateway.child.pid ?? 0;
+  let peakBytes = 0;
+  const sampler = setInterval(() => {
+    if (exit === undefined) peakBytes = Math.max(peakBytes, readPeak(pid));
+  }, 100);
+  const endsAt = performance.now() + load.durationMs;
+  const mayGoOn = (): boolean => performance.now() < endsAt && exit === undefined;
+  const others = createSummary();
+  const ordinary = createSummary();
+  const calls = Array.from({ length: load.callers }, (_, index) =>
+    callRepeatedly(gateway.url, mayGoOn, others, {
+      path: load.paths[index % load.paths.length] ?? '/lookup/1',
+      key: 'key-1',
+      name: `crowd-${index}`,
+    }),
+  );
+  for (let index = 0; index < ORDINARY_CALLERS; index += 1) {
+    const path = `/ordinary/${WORK_MS}`;
+    calls.push(
+      callRepeatedly(gateway.url, mayGoOn, ordinary, {
+        path,
+        key: 'key-2',
+        name: `ordinary-${index}`,
+      }),
+    );
+  }
+  await Promise.all(calls);
+  clearInterval(sampler);
+  const metrics = await fetch(gateway.metricsUrl).then(
+    (response) => response.text(),
+    () => '',
+  );
+  const sentBytes = await host.readSentBytes();
+  return { exit, peakBytes, ordinary, others, sentBytes, log: gateway.log, metrics };
+}
+
+function readPeak(pid: number): number {
+  try {
+    const bytes = readPeakMemory(pid);
+    // The memory of a process that has ended is not known.
+    return Number.isFinite(bytes) ? bytes : 0;
+  } catch {
+    return 0;
+  }
+}
+
+function createSummary(): CallSummary {
+  return { answered: 0, failed: 0, cut: 0, late: 0, slowestMs: 0, statuses: {} };
+}
+
+interface CallerOptions {
+  readonly path: string;
+  readonly key: string;
+  readonly name: string;
+}
+
+/** Sends one request after the other on a kept connection. */
+async function callRepeatedly(
+  url: string,
+  mayGoOn: () => boolean,
+  summary: CallSummary,
+  { path, key, name }: CallerOptions,
+): Promise<void> {
+  const client = new Client(url, { pipelining: 1 });
+  for (let index = 0; mayGoOn(); index += 1) {
+    const startedAt = performance.now();
+    const status = await call(client, path, {
+      host: 'app.example',
+      'request-id': `${name}-${index}`,
+      'deadline-ms': String(DEADLINE_MS),
+      'x-api-key': key,
+    });
+    const tookMs = performance.now() - startedAt;
+    summary.statuses[status] = (summary.statuses[status] ?? 0) + 1;
+    if (status === '200') summary.answered += 1;
+    else if (/^\d+$/.test(status)) summary.failed += 1;
+    else summary.cut += 1;
+    if (tookMs > DEADLINE_MS + MAX_LATE_MS) summary.late += 1;
+    summary.slowestMs = Math.max(summary.slowestMs, tookMs);
+    await waitMs(PAUSE_MS);
+  }
+  await client.destroy();
+}
+
+/** Status of a complete response, or why there is none. */
+async function call(
+  client: Client,
+  path: string,
+  headers: Record<string, string>,
+): Promise<string> {
+  try {
+    const isPost = !path.startsWith('/lookup/') && !path.startsWith('/ordinary/');
+    const response = await client.request({
+      path,
+      method: isPost ? 'POST' : 'GET',
+      headers,
+      body: isPost ? 'question' : null,
+      signal: AbortSignal.timeout(DEADLINE_MS + GIVE_UP_MS),
+    });
+    // Also a body that is not kept has to end.
+    const status = String(response.statusCode);
+    return await finished(response.body.resume()).then(() => status);
+  } catch (error) {
+    return error instanceof Error ? error.name : String(error);
+  }
+}
+
+interface EndlessHost {
+  readonly workers: readonly PublishedWorker[];
+  readSentBytes(): Promise<number>;
+  close(): void;
+}
+
+async function startEndlessHost(parts: readonly EndlessPart[]): Promise<EndlessHost> {
+  const program = await buildProgram(rootDirectory, 'test/support/endlessHost.ts');
+  const child = fork(program, parts, {
+    cwd: rootDirectory,
+    stdio: ['ignore', 'pipe', 'inherit', 'ipc'],
+    execArgv: [],
+  });
+  let output = '';
+  child.stdout?.setEncoding('utf8').on('data', (text: string) => {
+    output += text;
+  });
+  await waitUntil('endless workers started', () => output.includes('\n'));
+  const { workers } = JSON.parse(output) as { workers: PublishedWorker[] };
+  return {
+    workers,
+    readSentBytes: () =>
+      new Promise((resolve) => {
+        child.once('message', (bytes) => {
+          resolve(Number(bytes));
+        });
+        child.send('sentBytes');
+      }),
+    close: () => {
+      child.kill('SIGKILL');
+    },
+  };
+}
