feat: the log and the metrics tell apart why a response broke off and what it cost

On-call engineers could not tell memory that no bound counts from turns of the event loop: an attempt that broke off left a reason only, and one that ended at its time limit left nothing.

attempt broke off and attempt aborted within its response now state bytes received, bytes and parts of the body, and the time that reading took; responses_broken_CODE counts by what was violated. /metrics of gateways and rankers has memory and the delay of the event loop.

No logic is changed.

--- a/src/process/metricsServer.ts
+++ b/src/process/metricsServer.ts
@@ -2,6 +2,7 @@
 import polka from 'polka';
 import { createControlServer } from './controlServer.js';
 import type { Metrics } from './metrics.js';
+import { ProcessUsage } from './processUsage.js';
 
 /**
  * Starts an HTTP server for metrics as text (`/metrics`) and the process state as JSON (`/dump`).
@@ -16,10 +17,14 @@
   dump(): unknown;
 }): Server {
   const server = createControlServer();
+  const usage = new ProcessUsage();
+  server.once('close', () => {
+    usage.close();
+  });
   polka({ server })
     .get('/metrics', (_request: unknown, response: ServerResponse) => {
       response.setHeader('Content-Type', 'text/plain');
-      response.end(formatMetrics(options.metrics));
+      response.end(formatMetrics(options.metrics) + formatUsage(usage));
     })
     .get('/dump', (_request: unknown, response: ServerResponse) => {
       response.setHeader('Content-Type', 'application/json');
@@ -48,3 +53,8 @@
   }
   return `${lines.join('\n')}\n`;
 }
+
+function formatUsage(usage: ProcessUsage): string {
+  const lines = Object.entries(usage.describe());
+  return lines.map(([name, value]) => `parsleyfold_process_${name} ${value}\n`).join('');
+}
--- a/src/request/forwarding/attemptHandlers.ts
+++ b/src/request/forwarding/attemptHandlers.ts
@@ -2,7 +2,7 @@
 import type { GatewayErrorCode } from './callerReply.js';
 import type { FinalOutcome, Forwarding } from './forwarding.js';
 import { CONFIGURATION_RETRY_AFTER_MS } from './forwarding.js';
-import { logBrokenAttempt } from './forwardLog.js';
+import { logAbortedAttempt, logBrokenAttempt } from './forwardLog.js';
 import type { AttemptOutcome } from './types.js';
 
 /** Responses from this status on are failures of the upstream. */
@@ -88,7 +88,8 @@
       !hasCrashed || context.crashes.isRepeatSafe(admitted.service, keys, context.readClock());
     return isRepeatSafe ? undefined : endWithError(forwarding, 'broken');
   },
-  aborted: (forwarding) => {
+  aborted: (forwarding, outcome, reservation) => {
+    logAbortedAttempt(forwarding, outcome, reservation.upstream);
     forwarding.mayHaveRun = true;
     return endAborted(forwarding);
   },
--- a/src/request/forwarding/forwardLog.ts
+++ b/src/request/forwarding/forwardLog.ts
@@ -1,7 +1,12 @@
 import type { RequestMetadata } from '../../process/gateway/types.js';
 import type { UpstreamEntry } from '../../version/routing/types.js';
 import type { FinalOutcome, Forwarding } from './forwarding.js';
-import type { AttemptOutcome, CallerExchange, ForwardingContext } from './types.js';
+import type {
+  AttemptOutcome,
+  CallerExchange,
+  ForwardingContext,
+  ResponseProgress,
+} from './types.js';
 
 /**
  * Logs a request that was refused admission.
@@ -90,22 +95,48 @@
  */
 export function logBrokenAttempt(
   { context, metadata }: Forwarding,
-  { reason, progress }: Extract<AttemptOutcome, { kind: 'broken' }>,
+  { code, reason, progress }: Extract<AttemptOutcome, { kind: 'broken' }>,
   upstream: UpstreamEntry,
   { cause, stalledMs }: BreakFinding,
 ): void {
   context.metrics.addCount(`attempts_broken_${cause}`);
+  context.metrics.addCount(`responses_broken_${code}`);
   context.logger.info(
     {
       requestId: metadata.requestId ?? '',
       upstream: upstream.id,
       cause,
+      code,
       reason,
-      hasHead: progress.hasHead,
-      events: progress.events,
+      ...formatProgress(progress),
       stalledMs: Math.round(stalledMs),
       promptParts: metadata.promptParts.join(','),
     },
     'attempt broke off',
   );
 }
+
+/**
+ * Logs an attempt that was aborted after a part of its response had arrived.
+ *
+ * @param forwarding - State of the request
+ * @param outcome - Outcome of the attempt
+ * @param upstream - Upstream of the attempt
+ */
+export function logAbortedAttempt(
+  { context, metadata }: Forwarding,
+  { reason, progress }: Extract<AttemptOutcome, { kind: 'aborted' }>,
+  upstream: UpstreamEntry,
+): void {
+  if (progress.receivedBytes === 0) return;
+  context.metrics.addCount(`responses_aborted_${reason}`);
+  const { requestId = '' } = metadata;
+  context.logger.info(
+    { requestId, upstream: upstream.id, reason, ...formatProgress(progress) },
+    'attempt aborted within its response',
+  );
+}
+
+function formatProgress({ readMs, ...progress }: ResponseProgress): ResponseProgress {
+  return { ...progress, readMs: Math.round(readMs) };
+}
--- a/src/request/forwarding/runAttempt.ts
+++ b/src/request/forwarding/runAttempt.ts
@@ -1,3 +1,4 @@
+import { errors } from 'undici';
 import type { CallerMemory } from '../../connection/callerMemory.js';
 import { RESERVED_BYTES as RESERVED_HOLD_BYTES } from '../../connection/callerMemory.js';
 import { ProcessWitness } from '../../connection/processWitness.js';
@@ -6,9 +7,15 @@
 import type { BufferBudget } from './bufferBudget.js';
 import { RESERVED_BYTES } from './bufferBudget.js';
 import { EventSplitter } from './eventSplitter.js';
-import type { AbortReason, AttemptOutcome, ResponseLimits } from './types.js';
+import type {
+  AbortReason,
+  AttemptOutcome,
+  BreakCode,
+  ResponseLimits,
+  ResponseProgress,
+} from './types.js';
 import type { ExchangeRequest } from './upstreamExchange.js';
-import { UpstreamExchange } from './upstreamExchange.js';
+import { FramingError, UpstreamExchange } from './upstreamExchange.js';
 
 const OK_STATUS = 200;
 const STREAM_TYPE = /^text\/event-stream/i;
@@ -72,7 +79,7 @@
       resolve(outcome);
     };
     const abort = (): void => {
-      settle({ kind: 'aborted', reason: options.signal.reason as AbortReason });
+      settle(reader.createAborted(options.signal.reason as AbortReason));
     };
     const pauseUntil = async (caughtUp: Promise<void>): Promise<void> => {
       exchange.pause();
@@ -94,7 +101,7 @@
       {
         confirmSend: () => {
           const isExpired = options.isExpired();
-          if (isExpired) settle({ kind: 'aborted', reason: 'time_limit' });
+          if (isExpired) settle(reader.createAborted('time_limit'));
           return !isExpired;
         },
         onHead: (status, headers) => {
@@ -112,6 +119,9 @@
           if (fault !== undefined) settle(fault);
           else if (reader.callerCaughtUp !== undefined) void pauseUntil(reader.callerCaughtUp);
         },
+        onRead: (bytes, tookMs) => {
+          reader.recordRead(bytes, tookMs);
+        },
         onEnd: (isComplete, error) => {
           if (!exchange.mayHaveSent) {
             settle({ kind: 'not_sent', reason: error?.message ?? 'connection failed' });
@@ -155,7 +165,10 @@
   private isStream = false;
   private lastEventId: number;
   private events = 0;
+  private receivedBytes = 0;
   private bodyBytes = 0;
+  private bodyParts = 0;
+  private readMs = 0;
   private takenBytes = 0;
   /** Bytes of comments, and of events that the caller has already received, since the last new event. */
   private repeatedBytes = 0;
@@ -173,11 +186,11 @@
     if (head.isNotExecuted && (isOwn || head.requestId === undefined)) {
       return { kind: 'not_run', head, reason: describeRefusal(head) };
     }
-    if (!isOwn) return this.createBroken('response has the id of another request');
+    if (!isOwn) return this.createBroken('head', 'response has the id of another request');
     const isSuccess = head.status >= OK_STATUS && head.status < 300;
-    if (head.isEncoded) return this.createBroken('response has a content encoding');
+    if (head.isEncoded) return this.createBroken('head', 'response has a content encoding');
     if (isSuccess && !head.isSigned)
-      return this.createBroken('successful response without signature');
+      return this.createBroken('head', 'successful response without signature');
     const type = head.headers.find(([name]) => name.toLowerCase() === 'content-type');
     this.isStream = head.status === OK_STATUS && STREAM_TYPE.test(type?.[1] ?? '');
     return this.isStream ? undefined : this.checkBodySize(head.contentLength ?? 0);
@@ -185,8 +198,9 @@
 
   acceptData(data: Buffer): AttemptOutcome | undefined {
     if (this.head === undefined) return undefined;
+    this.bodyBytes += data.length;
+    this.bodyParts += 1;
     if (!this.isStream) {
-      this.bodyBytes += data.length;
       this.chunks.push(data);
       return this.checkBodySize(this.bodyBytes) ?? this.takeBuffers();
     }
@@ -194,7 +208,7 @@
     for (const event of this.splitter.readEvents(data)) {
       if (event.bytes.length > this.options.limits.maxEventBytes) return this.createEventFault();
       if (event.id === undefined) {
-        if (!isComment(event.bytes)) return this.createBroken('event without an id');
+        if (!isComment(event.bytes)) return this.createBroken('event_order', 'event without an id');
         this.repeatedBytes += event.bytes.length;
         this.callerCaughtUp = this.options.onComment(this.head, event.bytes);
         continue;
@@ -204,7 +218,10 @@
         continue;
       }
       if (event.id !== this.lastEventId + 1) {
-        return this.createBroken(`event ${event.id} received after event ${this.lastEventId}`);
+        return this.createBroken(
+          'event_order',
+          `event ${event.id} received after event ${this.lastEventId}`,
+        );
       }
       this.lastEventId = event.id;
       this.events += 1;
@@ -219,7 +236,18 @@
 
   /** Bytes of a body that is kept until it is complete. */
   get keptBytes(): number {
-    return this.bodyBytes;
+    return this.isStream ? 0 : this.bodyBytes;
+  }
+
+  /**
+   * Records a read of the connection.
+   *
+   * @param bytes - Bytes read
+   * @param tookMs - Time that parsing them and handling the result took
+   */
+  recordRead(bytes: number, tookMs: number): void {
+    this.receivedBytes += bytes;
+    this.readMs += tookMs;
   }
 
   /** Returns the memory of the response to the budget. */
@@ -241,7 +269,10 @@
   /** Creates the outcome of a response for which no memory is left; its body is not kept for the rest of the request. */
   createOutOfMemory(): AttemptOutcome {
     this.chunks.length = 0;
-    return this.createBroken(`no memory left for a response body of ${this.bodyBytes} bytes`);
+    return this.createBroken(
+      'memory',
+      `no memory left for a response body of ${this.bodyBytes} bytes`,
+    );
   }
 
   private checkBodySize(bytes: number): AttemptOutcome | undefined {
@@ -249,34 +280,52 @@
     if (bytes <= maxBodyBytes) return undefined;
     // A rejected body is not kept for the rest of the request.
     this.chunks.length = 0;
-    return this.createBroken(`response body exceeds ${maxBodyBytes} bytes`);
+    return this.createBroken('body_size', `response body exceeds ${maxBodyBytes} bytes`);
   }
 
   /** Creates the outcome of a response whose end may be that of its upstream. */
   createUnproven(): AttemptOutcome {
-    return this.createBroken('response without a length ended with its upstream');
+    return this.createBroken('unproven', 'response without a length ended with its upstream');
+  }
+
+  /**
+   * Creates the outcome of an attempt that was aborted.
+   *
+   * @param reason - Why it was aborted
+   */
+  createAborted(reason: AbortReason): AttemptOutcome {
+    return { kind: 'aborted', reason, progress: this.describeProgress() };
   }
 
-  private createBroken(reason: string): AttemptOutcome {
-    const progress = { hasHead: this.head !== undefined, events: this.events };
-    return { kind: 'broken', reason, progress };
+  private createBroken(code: BreakCode, reason: string): AttemptOutcome {
+    return { kind: 'broken', code, reason, progress: this.describeProgress() };
+  }
+
+  private describeProgress(): ResponseProgress {
+    const { events, receivedBytes, bodyBytes, bodyParts, readMs } = this;
+    const hasHead = this.head !== undefined;
+    return { hasHead, events, receivedBytes, bodyBytes, bodyParts, readMs };
   }
 
   private createEventFault(): AttemptOutcome {
     const { maxEventBytes } = this.options.limits;
-    return this.createBroken(`no new event within ${maxEventBytes} bytes of the stream`);
+    return this.createBroken(
+      'event_size',
+      `no new event within ${maxEventBytes} bytes of the stream`,
+    );
   }
 
   finish(isComplete: boolean, error: Error | undefined): AttemptOutcome {
-    if (this.head === undefined) {
-      return this.createBroken(error?.message ?? 'connection closed before a response');
-    }
-    if (!isComplete) return this.createBroken(error?.message ?? 'response was truncated');
+    const isFraming = error instanceof FramingError || error instanceof errors.HeadersOverflowError;
+    const code = isFraming ? 'framing' : 'truncated';
+    if (this.head === undefined)
+      return this.createBroken(code, error?.message ?? 'connection closed before a response');
+    if (!isComplete) return this.createBroken(code, error?.message ?? 'response was truncated');
     if (!this.isStream) {
       return { kind: 'answered', head: this.head, body: Buffer.concat(this.chunks) };
     }
     if (this.splitter.partialEventBytes > 0)
-      return this.createBroken('stream ended within an event');
+      return this.createBroken('truncated', 'stream ended within an event');
     return { kind: 'streamed', head: this.head };
   }
 }
--- a/src/request/forwarding/types.ts
+++ b/src/request/forwarding/types.ts
@@ -117,8 +117,35 @@
   readonly hasHead: boolean;
   /** New events of a stream. */
   readonly events: number;
+  /** Bytes read from the connection, head and framing included. */
+  readonly receivedBytes: number;
+  /** Bytes of the body. */
+  readonly bodyBytes: number;
+  /** Parts in which the parser delivered the body; a chunk is at least one. */
+  readonly bodyParts: number;
+  /** Time that reading the response has taken, in milliseconds. */
+  readonly readMs: number;
 }
 
+/** What a response violated, or how it ended early. */
+export type BreakCode =
+  /** The response has the id of another request, no signature, or an encoding that was not asked for. */
+  | 'head'
+  /** Head or framing exceed their limit. */
+  | 'framing'
+  /** The body exceeds its limit. */
+  | 'body_size'
+  /** An event, or bytes without a new event, exceed their limit. */
+  | 'event_size'
+  /** An event has no id, or one that is not the next. */
+  | 'event_order'
+  /** No memory is left for the response. */
+  | 'memory'
+  /** The connection ended within the response. */
+  | 'truncated'
+  /** The end of a response without a length may be that of its upstream. */
+  | 'unproven';
+
 /** Outcome of one attempt at an upstream. */
 export type AttemptOutcome =
   /** Complete response that is not an event stream. */
@@ -130,5 +157,14 @@
   /** The upstream reported that the request has not run. */
   | { readonly kind: 'not_run'; readonly head: ResponseHead; readonly reason: string }
   /** The request may have run, but no complete response was received. */
-  | { readonly kind: 'broken'; readonly reason: string; readonly progress: ResponseProgress }
-  | { readonly kind: 'aborted'; readonly reason: AbortReason };
+  | {
+      readonly kind: 'broken';
+      readonly code: BreakCode;
+      readonly reason: string;
+      readonly progress: ResponseProgress;
+    }
+  | {
+      readonly kind: 'aborted';
+      readonly reason: AbortReason;
+      readonly progress: ResponseProgress;
+    };
--- a/src/request/forwarding/upstreamExchange.spec.ts
+++ b/src/request/forwarding/upstreamExchange.spec.ts
@@ -15,6 +15,7 @@
             confirmSend: () => true,
             onHead: () => undefined,
             onData: () => undefined,
+            onRead: () => undefined,
             onEnd: () => {
               resolve(exchange.mayHaveSent);
             },
@@ -43,6 +44,7 @@
             confirmSend: () => true,
             onHead: () => undefined,
             onData,
+            onRead: () => undefined,
             onEnd: () => undefined,
           },
         );
--- a/src/request/forwarding/upstreamExchange.ts
+++ b/src/request/forwarding/upstreamExchange.ts
@@ -11,6 +11,9 @@
 /** A live host accepts within one round trip, which is below 20 ms between availability zones. */
 const CONNECT_TIMEOUT_MS = 400;
 
+/** The head or the framing of a response exceeds its limit. */
+export class FramingError extends Error {}
+
 export interface ExchangeRequest {
   readonly address: string;
   readonly method: string;
@@ -31,6 +34,13 @@
   confirmSend(): boolean;
   onHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void;
   onData(data: Buffer): void;
+  /**
+   * Called after each read of the connection has been parsed.
+   *
+   * @param bytes - Bytes read
+   * @param tookMs - Time that this took, in milliseconds
+   */
+  onRead(bytes: number, tookMs: number): void;
   /**
    * Called exactly once.
    *
@@ -72,7 +82,12 @@
         this.controller = controller;
         // undici reads the socket on `readable`, so this listener only observes what it reads.
         this.socket?.on('data', (data: Buffer) => {
+          const startedAt = performance.now();
           this.meterFraming(data.length);
+          // The read is parsed in the same turn, after its listeners.
+          queueMicrotask(() => {
+            this.events.onRead(data.length, performance.now() - startedAt);
+          });
         });
       },
       onResponseStart: (_controller, status, headers) => {
@@ -132,7 +147,10 @@
     // The bytes of this read have not been parsed yet, so only the earlier ones are judged.
     if (this.framing.isExceeded) {
       const { maxFramingBytes } = this.request;
-      this.finish(false, new Error(`response has more than ${maxFramingBytes} bytes of framing`));
+      this.finish(
+        false,
+        new FramingError(`response has more than ${maxFramingBytes} bytes of framing`),
+      );
     }
     this.framing.addReceived(bytes);
   }
