fix: a response in small chunks is kept in segments, and counts as the memory that it takes

Callers saw all their requests at a gateway end at once: the process ran out of memory while few faulty upstreams sent chunks of one byte without end.

Cause: each part that the parser delivered was kept as a buffer of its own, some hundred bytes of heap for one byte; the bounds on responses and on the memory shared with callers counted content. 21 MB sent by upstreams, 4 MB of it content, ended the process.

Responses now use the same BodyBuffer, and the shared memory counts its capacity, and that of an incomplete event.

--- a/src/request/forwarding/eventSplitter.ts
+++ b/src/request/forwarding/eventSplitter.ts
@@ -25,6 +25,11 @@
     return this.pendingBytes;
   }
 
+  /** Bytes of memory that the incomplete event takes. */
+  get heldBytes(): number {
+    return this.buffer.length;
+  }
+
   /**
    * Appends received bytes and extracts the events that they complete.
    *
--- a/src/request/forwarding/runAttempt.ts
+++ b/src/request/forwarding/runAttempt.ts
@@ -1,4 +1,5 @@
 import { errors } from 'undici';
+import { BodyBuffer } from '../../connection/bodyBuffer.js';
 import type { CallerMemory } from '../../connection/callerMemory.js';
 import { RESERVED_BYTES as RESERVED_HOLD_BYTES } from '../../connection/callerMemory.js';
 import { ProcessWitness } from '../../connection/processWitness.js';
@@ -114,7 +115,7 @@
         },
         onData: (data) => {
           const fault = reader.acceptData(data);
-          if (reader.keptBytes > RESERVED_HOLD_BYTES)
+          if (Math.max(reader.keptBytes, hold.size) > RESERVED_HOLD_BYTES)
             hold.resize(reader.keptBytes, options.readClock());
           if (fault !== undefined) settle(fault);
           else if (reader.callerCaughtUp !== undefined) void pauseUntil(reader.callerCaughtUp);
@@ -160,7 +161,7 @@
 /** Reads and validates one response as it arrives. */
 class ResponseReader {
   private head: ResponseHead | undefined;
-  private readonly chunks: Buffer[] = [];
+  private body = new BodyBuffer(NaN);
   private readonly splitter = new EventSplitter();
   private isStream = false;
   private lastEventId: number;
@@ -193,7 +194,9 @@
       return this.createBroken('head', 'successful response without signature');
     const type = head.headers.find(([name]) => name.toLowerCase() === 'content-type');
     this.isStream = head.status === OK_STATUS && STREAM_TYPE.test(type?.[1] ?? '');
-    return this.isStream ? undefined : this.checkBodySize(head.contentLength ?? 0);
+    if (this.isStream) return undefined;
+    this.body = new BodyBuffer(head.contentLength ?? NaN);
+    return this.checkBodySize(head.contentLength ?? 0);
   }
 
   acceptData(data: Buffer): AttemptOutcome | undefined {
@@ -201,7 +204,7 @@
     this.bodyBytes += data.length;
     this.bodyParts += 1;
     if (!this.isStream) {
-      this.chunks.push(data);
+      this.body.add(data);
       return this.checkBodySize(this.bodyBytes) ?? this.takeBuffers();
     }
     this.callerCaughtUp = undefined;
@@ -234,13 +237,13 @@
       : undefined;
   }
 
-  /** Bytes of a body that is kept until it is complete. */
+  /** Bytes of memory that hold a body, or an event, until it is complete. */
   get keptBytes(): number {
-    return this.isStream ? 0 : this.bodyBytes;
+    return this.isStream ? this.splitter.heldBytes : this.body.capacity;
   }
 
   /**
-   * Records a read of the connection.
+   * Records a slice of the response.
    *
    * @param bytes - Bytes read
    * @param tookMs - Time that parsing them and handling the result took
@@ -268,7 +271,7 @@
 
   /** Creates the outcome of a response for which no memory is left; its body is not kept for the rest of the request. */
   createOutOfMemory(): AttemptOutcome {
-    this.chunks.length = 0;
+    this.body = new BodyBuffer(NaN);
     return this.createBroken(
       'memory',
       `no memory left for a response body of ${this.bodyBytes} bytes`,
@@ -279,7 +282,7 @@
     const { maxBodyBytes } = this.options.limits;
     if (bytes <= maxBodyBytes) return undefined;
     // A rejected body is not kept for the rest of the request.
-    this.chunks.length = 0;
+    this.body = new BodyBuffer(NaN);
     return this.createBroken('body_size', `response body exceeds ${maxBodyBytes} bytes`);
   }
 
@@ -322,7 +325,7 @@
       return this.createBroken(code, error?.message ?? 'connection closed before a response');
     if (!isComplete) return this.createBroken(code, error?.message ?? 'response was truncated');
     if (!this.isStream) {
-      return { kind: 'answered', head: this.head, body: Buffer.concat(this.chunks) };
+      return { kind: 'answered', head: this.head, body: this.body.take() };
     }
     if (this.splitter.partialEventBytes > 0)
       return this.createBroken('truncated', 'stream ended within an event');
