fix: events and comments of one turn are written to the caller at once

Callers saw all their requests at a gateway end at once: the process ran out of memory while a dozen faulty upstreams sent comments, many to a chunk, within streams.

Cause: each comment was a write of its own, which takes some hundred bytes of heap until the caller has read it; the bound on what a caller leaves unread counts bytes, and 256 KB of comments are 50,000 writes.

Events and comments are now collected and written at the end of the turn of the event loop, or at 16 KB. A comment, or an event that the caller has already received, counts 64 bytes beyond its own towards the bound on bytes without a new event, which is about 3,800 comments in a row. A stream that is kept whole for a caller of HTTP/1.0 is kept in segments.

--- a/src/request/forwarding/callerReply.ts
+++ b/src/request/forwarding/callerReply.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import { BodyBuffer } from '../../connection/bodyBuffer.js';
 import { bodylessStatuses } from '../../connection/responseFraming.js';
 import type { ResponseHead, HeaderCodec } from '../../process/gateway/types.js';
 import type { BufferBudget } from './bufferBudget.js';
@@ -39,6 +40,9 @@
 
 export type GatewayErrorCode = keyof typeof gatewayErrors;
 
+/** Events and comments are written at the end of the turn of the event loop, or when they reach this size. */
+const MAX_PENDING_BYTES = 16 * 1024;
+
 /** Memory that a response may take which is kept until it is complete. */
 export interface ReplyLimits {
   /** Bytes that a slow caller may leave unread before its upstream is paused. */
@@ -63,6 +67,9 @@
   private drained: Promise<void> | undefined;
   /** Stream that is kept for a caller that reads no chunks. */
   private kept: KeptStream | undefined;
+  /** Events and comments of this turn of the event loop, which are written at once. */
+  private pending: Buffer[] = [];
+  private pendingBytes = 0;
 
   constructor(
     private readonly response: ServerResponse,
@@ -101,7 +108,7 @@
   startStream(head: ResponseHead): void {
     if (this.hasEnded || this.isStreaming) return;
     if (!this.response.useChunkedEncodingByDefault) {
-      this.kept = { head, events: [], bytes: 0 };
+      this.kept = { head, body: new BodyBuffer(NaN) };
       this.response.once('close', () => {
         this.takeKept();
       });
@@ -123,8 +130,31 @@
       this.keepEvent(this.kept, bytes);
       return undefined;
     }
+    if (this.pending.length === 0) {
+      process.nextTick(() => {
+        this.writePending();
+      });
+    }
+    this.pending.push(bytes);
+    this.pendingBytes += bytes.length;
+    if (this.pendingBytes >= MAX_PENDING_BYTES) this.writePending();
+    return this.waitForCaller();
+  }
+
+  /** A write for each event of a read would take far more memory than their bytes until the caller has read them. */
+  private writePending(): void {
+    const { pending, pendingBytes } = this;
+    if (pending.length === 0) return;
+    this.pending = [];
+    this.pendingBytes = 0;
+    const [first] = pending;
+    this.response.write(pending.length === 1 ? first : Buffer.concat(pending, pendingBytes));
+  }
+
+  private waitForCaller(): Promise<void> | undefined {
     const { response, limits } = this;
-    if (response.write(bytes) || response.writableLength <= limits.maxUnreadBytes) return undefined;
+    if (!response.writableNeedDrain || response.writableLength <= limits.maxUnreadBytes)
+      return undefined;
     this.drained ??= new Promise((resolve) => {
       response.once('drain', () => {
         this.drained = undefined;
@@ -139,9 +169,10 @@
     if (this.hasEnded) return;
     const kept = this.takeKept();
     if (kept !== undefined) {
-      this.sendWhole(kept.head, Buffer.concat(kept.events));
+      this.sendWhole(kept.head, kept.body.take());
       return;
     }
+    this.writePending();
     this.hasEnded = true;
     this.response.end();
   }
@@ -149,6 +180,7 @@
   /** Closes the connection of a streamed response, so that the caller cannot take it for complete. */
   abortStream(): void {
     if (this.hasEnded) return;
+    this.writePending();
     this.hasEnded = true;
     this.response.destroy();
   }
@@ -182,19 +214,18 @@
 
   private keepEvent(kept: KeptStream, bytes: Buffer): void {
     const { maxBodyBytes, buffers } = this.limits;
-    if (kept.bytes + bytes.length > maxBodyBytes || !buffers.tryTake(bytes.length)) {
+    if (kept.body.size + bytes.length > maxBodyBytes || !buffers.tryTake(bytes.length)) {
       this.sendGatewayError('broken');
       return;
     }
-    kept.bytes += bytes.length;
-    kept.events.push(bytes);
+    kept.body.add(bytes);
   }
 
   /** Takes the kept stream and returns its memory to the budget. */
   private takeKept(): KeptStream | undefined {
     const { kept } = this;
     this.kept = undefined;
-    this.limits.buffers.release(kept?.bytes ?? 0);
+    this.limits.buffers.release(kept?.body.size ?? 0);
     return kept;
   }
 
@@ -221,6 +252,5 @@
 /** Stream for a caller that gets it as a whole. */
 interface KeptStream {
   readonly head: ResponseHead;
-  readonly events: Buffer[];
-  bytes: number;
+  readonly body: BodyBuffer;
 }
--- a/src/request/forwarding/runAttempt.ts
+++ b/src/request/forwarding/runAttempt.ts
@@ -19,6 +19,8 @@
 import { FramingError, UpstreamExchange } from './upstreamExchange.js';
 
 const OK_STATUS = 200;
+/** What a comment or an event costs beyond its bytes. */
+const EVENT_COST_BYTES = 64;
 const STREAM_TYPE = /^text\/event-stream/i;
 const COMMENT_EVENT = /^(:[^\n]*\n)+\r?\n$/;
 
@@ -171,7 +173,7 @@
   private bodyParts = 0;
   private readMs = 0;
   private takenBytes = 0;
-  /** Bytes of comments, and of events that the caller has already received, since the last new event. */
+  /** Cost in bytes of comments, and of events that the caller has already received, since the last new event. */
   private repeatedBytes = 0;
   /** Set by the last read if the caller is too slow to receive more. */
   callerCaughtUp: Promise<void> | undefined;
@@ -212,12 +214,12 @@
       if (event.bytes.length > this.options.limits.maxEventBytes) return this.createEventFault();
       if (event.id === undefined) {
         if (!isComment(event.bytes)) return this.createBroken('event_order', 'event without an id');
-        this.repeatedBytes += event.bytes.length;
+        this.repeatedBytes += EVENT_COST_BYTES + event.bytes.length;
         this.callerCaughtUp = this.options.onComment(this.head, event.bytes);
         continue;
       }
       if (event.id <= this.lastEventId) {
-        this.repeatedBytes += event.bytes.length;
+        this.repeatedBytes += EVENT_COST_BYTES + event.bytes.length;
         continue;
       }
       if (event.id !== this.lastEventId + 1) {
