fix: responses of upstreams are read in slices that leave the event loop to others

Ordinary callers of another, sound upstream got no answer, or one after their time limit, while upstreams sent bytes without end in heads, trailers, small chunks or events; the store was read late too.

Cause: a client parses all that a read of 64 KB holds, from each upstream in turn, and what that costs depends on the sender. Evidence: readMs of attempts that broke off is 60 to 77 ms for one read of header lines, and the event loop was late by 829 ms with 12 callers, at 145 MB.

MeteredSocket gives the HTTP client slices of 1 to 64 KB, whose time is measured. What a slice holds is metered before it is parsed, so framing without end is noticed within a slice instead of 64 KB later.

--- a/src/request/forwarding/upstreamExchange.ts
+++ b/src/request/forwarding/upstreamExchange.ts
@@ -1,10 +1,10 @@
 import type { Socket } from 'node:net';
-import { connect } from 'node:net';
 import type { Dispatcher } from 'undici';
 import type { buildConnector } from 'undici';
 import { Client } from 'undici';
 import { parseAddress } from '../../connection/linkClient.js';
 import { FramingMeter } from '../../connection/framingMeter.js';
+import { connectMetered } from '../../connection/meteredSocket.js';
 import { observeReset } from '../../connection/observeReset.js';
 import { MIN_FINAL_STATUS } from '../../connection/responseFraming.js';
 
@@ -35,7 +35,7 @@
   onHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void;
   onData(data: Buffer): void;
   /**
-   * Called after each read of the connection has been parsed.
+   * Called after each slice of the response has been parsed.
    *
    * @param bytes - Bytes read
    * @param tookMs - Time that this took, in milliseconds
@@ -82,12 +82,7 @@
         this.controller = controller;
         // undici reads the socket on `readable`, so this listener only observes what it reads.
         this.socket?.on('data', (data: Buffer) => {
-          const startedAt = performance.now();
           this.meterFraming(data.length);
-          // The read is parsed in the same turn, after its listeners.
-          queueMicrotask(() => {
-            this.events.onRead(data.length, performance.now() - startedAt);
-          });
         });
       },
       onResponseStart: (_controller, status, headers) => {
@@ -144,7 +139,7 @@
   }
 
   private meterFraming(bytes: number): void {
-    // The bytes of this read have not been parsed yet, so only the earlier ones are judged.
+    // The bytes of this slice have not been parsed yet, so only the earlier ones are judged.
     if (this.framing.isExceeded) {
       const { maxFramingBytes } = this.request;
       this.finish(
@@ -157,7 +152,9 @@
 
   private openSocket(callback: buildConnector.Callback): void {
     const { host, port } = parseAddress(this.request.address);
-    const socket = connect({ host, port, noDelay: true });
+    const socket = connectMetered({ host, port, noDelay: true }, (bytes, tookMs) => {
+      this.events.onRead(bytes, tookMs);
+    });
     this.socket = socket;
     const timer = setTimeout(() => {
       socket.destroy(new Error('connection attempt timed out'));
