fix: a response with a status that HTTP does not define is no answer

Callers got 600, 700 and 999 of a faulty upstream as the answer to their requests, on each kind of route (MIXED). 000 and the like ended as 502 already, as the parser refuses them.

Cause: the gateway knew only the lower end of the statuses. A status above 599 now breaks the attempt, counts in responses_broken_status, and the request goes to another upstream where its route allows that.

--- a/src/connection/responseFraming.ts
+++ b/src/connection/responseFraming.ts
@@ -1,5 +1,24 @@
 /** Informational responses below this status precede the response and say nothing about it. */
 export const MIN_FINAL_STATUS = 200;
+/** HTTP defines no class of statuses beyond this one. */
+const MAX_STATUS = 599;
+
+/** A response has a status that HTTP does not define, so nothing in it can be relied on. */
+export class InvalidStatusError extends Error {
+  constructor(status: number) {
+    super(`response has the status ${status}, which HTTP does not define`);
+  }
+}
+
+/**
+ * Checks the status of a response that is not informational.
+ *
+ * @param status - Status code
+ * @returns False if HTTP defines no such status
+ */
+export function isDefinedStatus(status: number): boolean {
+  return status <= MAX_STATUS;
+}
 
 /** Statuses whose responses end with their head. */
 export const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
--- a/src/request/forwarding/runAttempt.ts
+++ b/src/request/forwarding/runAttempt.ts
@@ -3,7 +3,7 @@
 import type { CallerMemory } from '../../connection/callerMemory.js';
 import { RESERVED_BYTES as RESERVED_HOLD_BYTES } from '../../connection/callerMemory.js';
 import { ProcessWitness } from '../../connection/processWitness.js';
-import { bodylessStatuses } from '../../connection/responseFraming.js';
+import { bodylessStatuses, InvalidStatusError } from '../../connection/responseFraming.js';
 import type { ResponseHead, HeaderCodec } from '../../process/gateway/types.js';
 import type { BufferBudget } from './bufferBudget.js';
 import { RESERVED_BYTES } from './bufferBudget.js';
@@ -321,8 +321,7 @@
   }
 
   finish(isComplete: boolean, error: Error | undefined): AttemptOutcome {
-    const isFraming = error instanceof FramingError || error instanceof errors.HeadersOverflowError;
-    const code = isFraming ? 'framing' : 'truncated';
+    const code = findBreakCode(error);
     if (this.head === undefined)
       return this.createBroken(code, error?.message ?? 'connection closed before a response');
     if (!isComplete) return this.createBroken(code, error?.message ?? 'response was truncated');
@@ -339,6 +338,12 @@
   return kind === 'answered' || kind === 'streamed';
 }
 
+function findBreakCode(error: Error | undefined): BreakCode {
+  if (error instanceof FramingError || error instanceof errors.HeadersOverflowError)
+    return 'framing';
+  return error instanceof InvalidStatusError ? 'status' : 'truncated';
+}
+
 /** Whether only the end of the connection marks the end of the response. */
 function endsWithConnection({ isFramed, status }: ResponseHead, method: string): boolean {
   return !isFramed && method !== 'HEAD' && !bodylessStatuses.has(status);
--- a/src/request/forwarding/types.ts
+++ b/src/request/forwarding/types.ts
@@ -131,6 +131,8 @@
 export type BreakCode =
   /** The response has the id of another request, no signature, or an encoding that was not asked for. */
   | 'head'
+  /** The status is one that HTTP does not define. */
+  | 'status'
   /** Head or framing exceed their limit. */
   | 'framing'
   /** The body exceeds its limit. */
--- a/src/request/forwarding/upstreamExchange.ts
+++ b/src/request/forwarding/upstreamExchange.ts
@@ -6,7 +6,11 @@
 import { FramingMeter } from '../../connection/framingMeter.js';
 import { connectMetered } from '../../connection/meteredSocket.js';
 import { observeReset } from '../../connection/observeReset.js';
-import { MIN_FINAL_STATUS } from '../../connection/responseFraming.js';
+import {
+  InvalidStatusError,
+  isDefinedStatus,
+  MIN_FINAL_STATUS,
+} from '../../connection/responseFraming.js';
 
 /** A live host accepts within one round trip, which is below 20 ms between availability zones. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -86,7 +90,9 @@
         });
       },
       onResponseStart: (_controller, status, headers) => {
-        if (!this.hasEnded && status >= MIN_FINAL_STATUS) this.events.onHead(status, headers);
+        if (this.hasEnded || status < MIN_FINAL_STATUS) return;
+        if (isDefinedStatus(status)) this.events.onHead(status, headers);
+        else this.finish(false, new InvalidStatusError(status));
       },
       onResponseData: (_controller, data) => {
         this.framing.addContent(data.length);
