fix: a refusal that the upstream has not stated, and a partial body that nobody asked for, are no answers

Callers of requests that may run once got 408, 429 and 503 of an upstream that had not said that the request has not run. A body with 206 counted as the whole response of a request without a range.

Cause: the outcome of an attempt took any signed status as the answer. A refusal without the upstream's word now ends a request that may not be repeated with 502, which promises nothing; 206 and 304 answer only requests that asked for them.

--- a/src/connection/responseFraming.ts
+++ b/src/connection/responseFraming.ts
@@ -23,6 +23,27 @@
 /** Statuses whose responses end with their head. */
 export const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
+/** Statuses that answer only requests with one of these headers, in lower case. */
+const statusesOnRequest: ReadonlyMap<number, readonly string[]> = new Map([
+  [206, ['range']],
+  [304, ['if-none-match', 'if-modified-since']],
+]);
+
+/**
+ * Checks whether a status can answer a request: a part of a body, or none, answers only a request that asked for it.
+ *
+ * @param status - Status code
+ * @param requestHeaders - Headers of the request, as alternating names and values
+ * @returns False if the request did not ask for such a response
+ */
+export function isStatusAskedFor(status: number, requestHeaders: readonly string[]): boolean {
+  const names = statusesOnRequest.get(status);
+  if (names === undefined) return true;
+  return requestHeaders.some(
+    (name, index) => index % 2 === 0 && names.includes(name.toLowerCase()),
+  );
+}
+
 /** Only a last transfer coding of `chunked` marks the end of the body. */
 const CHUNKED_PATTERN = /(^|,)\s*chunked\s*$/i;
 
--- a/src/request/forwarding/attemptHandlers.ts
+++ b/src/request/forwarding/attemptHandlers.ts
@@ -7,6 +7,8 @@
 
 /** Responses from this status on are failures of the upstream. */
 export const MIN_SERVER_ERROR_STATUS = 500;
+/** Statuses with which a request is refused before it has run. */
+const refusalStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
 /** A group that aborts work after a stall this long has lost a rank; a single broken response has no prior stall. */
 const GROUP_FAILURE_STALL_MS = 700;
 /** Events that an upstream may still send before it crashes on the request. */
@@ -28,7 +30,13 @@
     const { context, reply } = forwarding;
     // A complete response cannot continue a stream that has begun; another upstream may still resume it.
     if (reply.isStreaming) return undefined;
-    const isFailure = outcome.head.status >= MIN_SERVER_ERROR_STATUS;
+    const { status } = outcome.head;
+    // To the caller these statuses mean that the request has not run, which the upstream has not stated.
+    if (refusalStatuses.has(status) && !isRepeatAllowed(forwarding)) {
+      forwarding.mayHaveRun = true;
+      return endWithError(forwarding, 'broken');
+    }
+    const isFailure = status >= MIN_SERVER_ERROR_STATUS;
     if (isFailure && isRepeatAllowed(forwarding)) {
       forwarding.mayHaveRun = true;
       forwarding.failure = outcome;
--- a/src/request/forwarding/runAttempt.ts
+++ b/src/request/forwarding/runAttempt.ts
@@ -3,7 +3,11 @@
 import type { CallerMemory } from '../../connection/callerMemory.js';
 import { RESERVED_BYTES as RESERVED_HOLD_BYTES } from '../../connection/callerMemory.js';
 import { ProcessWitness } from '../../connection/processWitness.js';
-import { bodylessStatuses, InvalidStatusError } from '../../connection/responseFraming.js';
+import {
+  bodylessStatuses,
+  InvalidStatusError,
+  isStatusAskedFor,
+} from '../../connection/responseFraming.js';
 import type { ResponseHead, HeaderCodec } from '../../process/gateway/types.js';
 import type { BufferBudget } from './bufferBudget.js';
 import { RESERVED_BYTES } from './bufferBudget.js';
@@ -191,6 +195,8 @@
     }
     if (!isOwn) return this.createBroken('head', 'response has the id of another request');
     const isSuccess = head.status >= OK_STATUS && head.status < 300;
+    if (!isStatusAskedFor(head.status, this.options.request.headers))
+      return this.createBroken('status', `response has the status ${head.status} unasked`);
     if (head.isEncoded) return this.createBroken('head', 'response has a content encoding');
     if (isSuccess && !head.isSigned)
       return this.createBroken('head', 'successful response without signature');
--- a/src/request/forwarding/types.ts
+++ b/src/request/forwarding/types.ts
@@ -131,7 +131,7 @@
 export type BreakCode =
   /** The response has the id of another request, no signature, or an encoding that was not asked for. */
   | 'head'
-  /** The status is one that HTTP does not define. */
+  /** The status is one that HTTP does not define, or that the request did not ask for. */
   | 'status'
   /** Head or framing exceed their limit. */
   | 'framing'
--- a/test/failures/invalidStatuses.spec.ts
+++ b/test/failures/invalidStatuses.spec.ts
@@ -86,4 +86,38 @@
         for (const code of codes) expect(code).to.be.oneOf([502, 503, 504]);
     });
   }
+
+  // A caller took a part of a body, or an empty one, for the whole response.
+  for (const status of ['206', '304']) {
+    it(`guards against a response that the request did not ask for; status ${status}`, async () => {
+      await start(` ${status} OK`, (id) =>
+        formatRest(id, ['Server-Seal: s', 'Content-Length: 2'], 'ok'),
+      );
+      const url = fixture?.urls[0] ?? '';
+      const responses = await Promise.all(paths.map((path) => callGateway(url, path)));
+      for (const response of responses) expect(response.status).to.be.oneOf([502, 503, 504]);
+    });
+  }
+
+  it('guards against a part of a body that does not reach a caller who asked for it', async () => {
+    await start(' 206 Partial Content', (id) =>
+      formatRest(id, ['Server-Seal: s', 'Content-Length: 2'], 'ok'),
+    );
+    const answer = await callGateway(fixture?.urls[0] ?? '', '/lookup/a', { range: 'bytes=0-1' });
+    expect(answer).to.include({ status: 206, body: 'ok' });
+  });
+
+  // Callers take these statuses as the promise that the request has not run, and repeat it.
+  for (const status of ['408', '429', '503']) {
+    it(`guards against a refusal without the upstream's word that the request has not run; status ${status}`, async () => {
+      await start(` ${status} Refused`, (id) =>
+        formatRest(id, ['Server-Seal: s', 'Content-Length: 2'], 'no'),
+      );
+      const url = fixture?.urls[0] ?? '';
+      const responses = await Promise.all(
+        ['/pay/a', '/talk/a'].map((path) => callGateway(url, path)),
+      );
+      expect(responses.map((response) => response.status)).to.deep.equal([502, 502]);
+    });
+  }
 });
