fix: a body of tiny parts that does not end in time is its upstream's fault; a stream that can't be kept is closed

Two cases in which a faulty upstream took all of the time of each request. A body in chunks of one byte never exceeds a bound within the time limit, which is no fault of the upstream, so further requests went to it at once: 10,000 parts of less than 16 bytes on average now count as its fault. And for a caller of HTTP/1.0 that reads no chunks, a stream that was too large to keep was answered with 502, but read until its time limit; the attempt is aborted now.

Before: the second request to such an upstream takes 1 s and ends with 504; the connection of the stream stays open. After: it is refused with 503 and not sent; the connection is closed. Both new tests failed before.

--- a/src/request/forwarding/attemptHandlers.ts
+++ b/src/request/forwarding/attemptHandlers.ts
@@ -3,7 +3,7 @@
 import type { FinalOutcome, Forwarding } from './forwarding.js';
 import { CONFIGURATION_RETRY_AFTER_MS } from './forwarding.js';
 import { logAbortedAttempt, logBrokenAttempt } from './forwardLog.js';
-import type { AttemptOutcome } from './types.js';
+import type { AttemptOutcome, ResponseProgress } from './types.js';
 
 /** Responses from this status on are failures of the upstream. */
 export const MIN_SERVER_ERROR_STATUS = 500;
@@ -13,6 +13,10 @@
 const GROUP_FAILURE_STALL_MS = 700;
 /** Events that an upstream may still send before it crashes on the request. */
 const MAX_EVENTS_BEFORE_CRASH = 2;
+/** Parts of a body from which on their mean size tells about its upstream. */
+const MIN_FRAGMENTS = 10_000;
+/** Parts of a sound body are larger on average, even if it is sent in small writes. */
+const MAX_FRAGMENT_BYTES = 16;
 /** Upstreams that may be unreachable before the request fails. */
 const MAX_UNREACHABLE_UPSTREAMS = 4;
 
@@ -97,12 +101,20 @@
     return isRepeatSafe ? undefined : endWithError(forwarding, 'broken');
   },
   aborted: (forwarding, outcome, reservation) => {
+    const { context } = forwarding;
     logAbortedAttempt(forwarding, outcome, reservation.upstream);
+    if (outcome.reason === 'time_limit' && isFragmented(outcome.progress))
+      context.balancer.recordFault(reservation.upstream.id, context.readClock());
     forwarding.mayHaveRun = true;
     return endAborted(forwarding);
   },
 };
 
+/** Whether a body came in so many tiny parts that its upstream, and not its size, is why it did not end in time. */
+function isFragmented({ bodyBytes, bodyParts }: ResponseProgress): boolean {
+  return bodyParts >= MIN_FRAGMENTS && bodyBytes < bodyParts * MAX_FRAGMENT_BYTES;
+}
+
 /** Whether a request that may have run may be sent to another upstream; a stream that has begun only if resumable. */
 function isRepeatAllowed({ admitted, reply }: Forwarding): boolean {
   const { kind, isResumable } = admitted.route;
@@ -156,6 +168,7 @@
     return 'caller_gone';
   }
   if (forwarding.signal.reason === 'suspect') return endWithError(forwarding, 'suspect');
+  if (forwarding.signal.reason === 'too_large') return endWithError(forwarding, 'broken');
   if (forwarding.signal.reason === 'stopping') {
     if (forwarding.mayHaveRun) return endWithError(forwarding, 'stopped');
     const { context } = forwarding;
--- a/src/request/forwarding/runOneAttempt.ts
+++ b/src/request/forwarding/runOneAttempt.ts
@@ -71,14 +71,14 @@
       forwarding.lastEventId = id;
       exchange.progress.phase = 'responding';
       reply.startStream(head);
-      const caughtUp = reply.sendEvent(bytes);
+      const caughtUp = sendToCaller(forwarding, bytes);
       // The next gap includes the pause, so it says nothing about the pace of the engine.
       if (caughtUp !== undefined) forwarding.lastEventAt = undefined;
       return caughtUp;
     },
     onComment: (head, bytes) => {
       reply.startStream(head);
-      return reply.sendEvent(bytes);
+      return sendToCaller(forwarding, bytes);
     },
     onUnframedEnd: (isComplete) => {
       context.metrics.addCount(isComplete ? 'unframed_complete' : 'unframed_unproven');
@@ -99,6 +99,13 @@
   return outcome;
 }
 
+/** Sends bytes of a stream, and ends the request if they can't be kept for its caller. */
+function sendToCaller({ reply, exchange }: Forwarding, bytes: Buffer): Promise<void> | undefined {
+  const caughtUp = reply.sendEvent(bytes);
+  if (reply.isEnded) exchange.controller.abort('too_large');
+  return caughtUp;
+}
+
 /**
  * Releases a reservation, with which a queued request may be sent.
  *
--- a/src/request/forwarding/types.ts
+++ b/src/request/forwarding/types.ts
@@ -107,10 +107,10 @@
 }
 
 /**
- * Why a request was aborted: its caller disconnected, its time limit was reached, it would crash its upstream, or the
- * process stops.
+ * Why a request was aborted: its caller disconnected, its time limit was reached, it would crash its upstream, the process
+ * stops, or its stream is too large to be kept for a caller that reads no chunks.
  */
-export type AbortReason = 'caller_gone' | 'time_limit' | 'suspect' | 'stopping';
+export type AbortReason = 'caller_gone' | 'time_limit' | 'suspect' | 'stopping' | 'too_large';
 
 /** How far the response of an attempt had come. */
 export interface ResponseProgress {
--- a/test/failures/endlessResponses.spec.ts
+++ b/test/failures/endlessResponses.spec.ts
@@ -13,6 +13,7 @@
 import { formatChunk, formatHead, startRawWorker } from '../standins/rawWorker.js';
 import type { GatewayFixture } from '../support/gatewayFixture.js';
 import { callGateway, startGatewayFixture } from '../support/gatewayFixture.js';
+import { formatRequest, RawCaller } from '../support/rawCaller.js';
 import { waitUntil } from '../support/waiting.js';
 
 /** Well below the time limit of the route, which is 2 s. */
@@ -160,6 +161,34 @@
     expect(endless.requests.length).to.be.greaterThan(0);
   });
 
+  // Such a body never exceeds the bounds within the time limit, so each request to its upstream took all of its time.
+  it('guards against further requests to an upstream whose body of tiny parts did not end in time', async () => {
+    const endless = await startEndlessWorker('i-a', 'byteChunks');
+    workers = [endless];
+    fixture = await startGatewayFixture({ workers: 0, ownWorkers: workers });
+    const url = fixture.urls[0] ?? '';
+    const headers = { 'deadline-ms': '1000' };
+    expect((await callGateway(url, '/pay/a', headers)).status).to.equal(504);
+    expect((await callGateway(url, '/pay/a', headers)).status).to.equal(503);
+    expect(endless.requests.length).to.equal(1);
+  });
+
+  // The stream was read until its time limit after its caller had been answered.
+  it('guards against reading a stream that can no longer be kept for a caller that reads no chunks', async () => {
+    const endless = await startEndlessWorker('i-a', 'newEvents');
+    workers = [endless];
+    fixture = await startGatewayFixture({
+      workers: 0,
+      ownWorkers: workers,
+      settings: { responses: { ...defaultResponseLimits, maxBodyBytes: MIB } },
+    });
+    const caller = new RawCaller(fixture.urls[0] ?? '');
+    caller.send(formatRequest('/talk/a', 'r-1', 'question').replace('HTTP/1.1', 'HTTP/1.0'));
+    await caller.ended;
+    expect(caller.received).to.match(/^HTTP\/1\.1 502 /);
+    await waitUntil('connection closed', () => endless.active === 0, { timeoutMs: MAX_GAP_MS });
+  });
+
   // An endless event took the event loop for seconds, because each read searched all of it again.
   it('guards against streams that stop while another upstream sends an endless event', async () => {
     const endless = await startEndlessWorker('i-a', 'eventLines');
