feat: the dump shows what responses hold, and their bound follows the memory of the host

The dump had nothing on incomplete responses of upstreams, and responses.max_buffered_bytes was 48 MB on a host of any size.

--- a/src/process/gateway/gatewayDaemon.ts
+++ b/src/process/gateway/gatewayDaemon.ts
@@ -5,6 +5,7 @@
 import polka from 'polka';
 import { CallerMemory } from '../../connection/callerMemory.js';
 import { createBoundedServer, getRequestReader } from '../../connection/boundedServer.js';
+import { responseScheduler } from '../../connection/meteredSocket.js';
 import { defaults } from '../../defaults.js';
 import type { AvailabilityZoneId, ServiceId, UpstreamId } from '../../ids.js';
 import { toId } from '../../ids.js';
@@ -462,6 +463,10 @@
       active: this.callers.countUnfinished(),
       callerConnections: this.callers.describeUses(),
       callerMemory: this.callerMemory.describe(),
+      responses: {
+        ...this.context.responseBuffers.describe(),
+        waitingToBeRead: responseScheduler.waitingCount,
+      },
       configurationVersion: this.configurationCache.version,
       proofAgeMs: this.configurationCache.computeAge(now),
       storeEra: this.storeEra.current,
--- a/src/process/settings/gatewaySettings.ts
+++ b/src/process/settings/gatewaySettings.ts
@@ -99,6 +99,8 @@
 const CONNECTIONS_PER_MB = 5;
 /** Share of the memory of the host for bodies and unread responses. */
 const HELD_MEMORY_SHARE = 0.1;
+/** Share of the memory of the host for incomplete responses of upstreams. */
+const BUFFERED_MEMORY_SHARE = 0.2;
 const BYTES_PER_MB = 1024 * 1024;
 
 interface HostLimits {
@@ -115,6 +117,11 @@
   return Math.floor(memoryMb * BYTES_PER_MB * HELD_MEMORY_SHARE);
 }
 
+function computeMaxBufferedBytes({ memory_mb: memoryMb }: HostLimits): number {
+  const share = Math.floor(memoryMb * BYTES_PER_MB * BUFFERED_MEMORY_SHARE);
+  return Math.min(defaults.maxBufferedBytes, share);
+}
+
 const defaultHost: HostLimits = {
   memory_mb: defaults.hostMemoryMb,
   descriptors: defaults.hostDescriptors,
@@ -184,7 +191,7 @@
         max_body_bytes: byteCount().default(defaults.maxResponseBodyBytes),
         max_event_bytes: byteCount().default(defaults.maxEventBytes),
         max_unread_bytes: byteCount().default(defaults.maxUnreadBytes),
-        max_buffered_bytes: byteCount().default(defaults.maxBufferedBytes),
+        max_buffered_bytes: byteCount().optional(),
       })
       .prefault({}),
   })
@@ -234,7 +241,7 @@
         maxBodyBytes: responses.max_body_bytes,
         maxEventBytes: responses.max_event_bytes,
         maxUnreadBytes: responses.max_unread_bytes,
-        maxBufferedBytes: responses.max_buffered_bytes,
+        maxBufferedBytes: responses.max_buffered_bytes ?? computeMaxBufferedBytes(host),
       },
     }),
   );
--- a/src/request/forwarding/bufferBudget.ts
+++ b/src/request/forwarding/bufferBudget.ts
@@ -27,4 +27,9 @@
   release(bytes: number): void {
     this.usedBytes -= bytes;
   }
+
+  /** Describes the use for the state dump. */
+  describe(): Readonly<Record<string, number>> {
+    return { bufferedBytes: this.usedBytes, maxBufferedBytes: this.maxBytes };
+  }
 }
