test: the check of expired entries calls often enough to tell an unused upstream from chance

So chance is suspected, not shown for that run. The check now sends a call each 5 ms in the same 400 ms, which no chance explains; bound and condition are as before.

--- a/test/failures/wokenReaders.spec.ts
+++ b/test/failures/wokenReaders.spec.ts
@@ -16,6 +16,7 @@
 /** Longer than entries are retained, and than a gateway that was frozen is excused. */
 const OBSERVED_MS = 3_500;
 const CALL_INTERVAL_MS = 25;
+const SHORT_INTERVAL_MS = 5;
 
 interface RunningGateway {
   readonly process: RunningProcess;
@@ -61,12 +62,16 @@
     const calls = gateways.map(({ store }, index) => store.calls - (before[index] ?? 0));
     return gateways[calls.indexOf(Math.max(...calls))]!;
   };
-  const callAll = async (targets: readonly RunningGateway[], durationMs: number): Promise<void> => {
+  const callAll = async (
+    targets: readonly RunningGateway[],
+    durationMs: number,
+    intervalMs = CALL_INTERVAL_MS,
+  ): Promise<void> => {
     const calls: Promise<unknown>[] = [];
     const until = performance.now() + durationMs;
     while (performance.now() < until) {
       for (const { url } of targets) calls.push(callGateway(url, '/lookup/a'));
-      await waitMs(CALL_INTERVAL_MS);
+      await waitMs(intervalMs);
     }
     await Promise.allSettled(calls);
   };
@@ -112,7 +117,8 @@
     for (const store of fixture.stores) store.mode = 'serving';
     for (const gateway of gateways) {
       const before = expired!.receivedRequests.length;
-      await callAll([gateway], 400);
+      // The choice among three upstreams is random, so it takes many calls to be sure that one is not used.
+      await callAll([gateway], 400, SHORT_INTERVAL_MS);
       expect(expired!.receivedRequests.length).to.be.above(before);
     }
     await waitUntil(
