--- a/review/support/gateways.ts
+++ b/review/support/gateways.ts
@@ -124,6 +124,8 @@
       'listen.ready': `${ip}:${ready}`,
       'listen.control': `${ip}:${links}`,
       'platform.address': storeAddress,
+      'limits.memoryMb': '350',
+      'limits.maxFds': '4100',
     };
     const template = readFileSync('deploy/gateway.ini', 'utf8');
     return template.replace(/\{\{([^}]+)\}\}/g, (_all, name: string) => {
