test: the second signal of the shutdown proof is sent after the first has been handled

The check of the second signal failed once at a load average of 20: exit code 0, no line about a second signal, and none of the four chats answered with draining. It read as an entry that ends early.

Cause of the same output: the kernel merges a signal with a pending one of the same kind. The proof sent its second SIGTERM 100 ms after the first, whether or not the entry had run meanwhile. An entry that receives one signal drains: it answers all four chats whole and exits with 0.

sendSignalTwice waits until the daemon has logged that it drains. The proof also waits until the entry has all four chats in progress, without which it shows nothing. What the check requires of the entry is unchanged.

--- a/bench/proofs/shutdown.ts
+++ b/bench/proofs/shutdown.ts
@@ -9,6 +9,7 @@
 import { OrderCallers } from '../../test/support/orderCaller.js';
 import { reduceOutline, unionOutline } from '../../test/support/outlines.js';
 import { reservePorts } from '../../test/support/ports.js';
+import { sendSignalTwice } from '../../test/support/processes.js';
 import { waitMs, waitUntil } from '../../test/support/waiting.js';
 import type { RunOptions, RunResult } from '../types.js';
 
@@ -79,7 +80,7 @@
       await sendControl(`${agent.upstreamUrl}/control`, 'POST', { delayMs: ORDER_DELAY_MS });
     const graceful = await runRounds(cluster, 'SIGTERM', seed, count);
     const baseline = await runRounds(cluster, 'SIGKILL', seed, count);
-    const forced = await sendSecondSignal(cluster);
+    const forced = await checkSecondSignal(cluster);
     return {
       rounds: count,
       ...graceful,
@@ -195,7 +196,7 @@
 }
 
 /** Sends a second signal while streams run, and checks the responses, the exit code and the log. */
-async function sendSecondSignal(cluster: Cluster): Promise<Record<string, unknown>> {
+async function checkSecondSignal(cluster: Cluster): Promise<Record<string, unknown>> {
   const [entry] = cluster.entries;
   if (entry === undefined) throw new Error('no entry');
   const chats = Array.from({ length: 4 }, (_, index) =>
@@ -208,17 +209,18 @@
       stream: index % 2 === 0,
     }),
   );
+  // Without a response in progress the entry ends before the second signal, and the check shows nothing.
+  await waitUntil(`${entry.plan.id} answers the chats`, async () => {
+    const dump = await cluster.readOperator(entry.plan);
+    return dump.requests === chats.length;
+  });
   await waitMs(WARM_UP_MS);
-  entry.process.send('SIGTERM');
-  await waitMs(100);
-  entry.process.send('SIGTERM');
-  const exitCode = await entry.process.exited;
+  const exitCode = await sendSignalTwice(entry.process);
   const results = await Promise.all(chats);
   // The last log lines may arrive after the process has exited.
   await waitMs(100);
   const isLogged = entry.process.getLog().includes('second signal');
   const unanswered = results.filter(({ code }) => code !== 'draining').length;
-  // Without a response in progress the entry ends before the second signal, and the check shows nothing.
   const ends = results.map(({ status, code, message, receivedChars, startedAt, endedAt }) => ({
     status,
     code,
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -3,9 +3,13 @@
 import { dirname, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { buildProgram } from './compiledPrograms.js';
+import { waitMs, waitUntil } from './waiting.js';
 
 const READY_TIMEOUT_MS = 20_000;
 const MAX_STDERR_CHARACTERS = 8_000;
+const SECOND_SIGNAL_DELAY_MS = 100;
+/** Log line of a daemon that has handled the first signal. */
+const DRAINING_LINE = '"message":"draining"';
 
 /** Root directory of the package. */
 export const rootDirectory = resolve(dirname(fileURLToPath(import.meta.url)), '../..');
@@ -167,3 +171,23 @@
   clearTimeout(timer);
   return code;
 }
+
+/**
+ * Sends SIGTERM to a daemon, and once more after it has begun to drain.
+ *
+ * The kernel merges a signal with a pending one of the same kind, so a daemon that is not scheduled between two signals
+ * receives one.
+ *
+ * @param target - Daemon with work that outlasts the first signal
+ * @returns Exit code, or null when the process was ended by a signal
+ * @throws Error when the daemon does not handle the first signal
+ */
+export async function sendSignalTwice(target: RunningProcess): Promise<number | null> {
+  target.send('SIGTERM');
+  await waitUntil(`${target.name} handles the first signal`, () =>
+    target.getLog().includes(DRAINING_LINE),
+  );
+  await waitMs(SECOND_SIGNAL_DELAY_MS);
+  target.send('SIGTERM');
+  return target.exited;
+}
