fix: a link drops messages that wait behind a hello which a pause has delayed

Cause: both sides of a link say hello without waiting for each other, so a peer sends requests as soon as it has read the hello of this side. A process that stops between the write of its hello and the read of the other finds hello and requests in its socket when it resumes. PeerLink counted the time of the last sign of life from that read, so none was too old, and the agent counts the remaining time of a request from there. The time-out of the hello does not help, as its timer is set after the write.

Change: the silence of the peer counts from this side's hello, taken before it is written; no message behind the hello of the peer is older. Messages that arrive together with the hello are checked like all others. A link whose hello takes longer than the heartbeat time-out is closed, and its peer opens another.

--- a/src/connection/handshake.ts
+++ b/src/connection/handshake.ts
@@ -29,6 +29,8 @@
   self: Hello,
   options: PeerLinkOptions,
 ): Promise<Result<PeerLink, HandshakeError>> {
+  // Read before the write, which wakes the peer: its next messages may be waiting when a pause of this process ends.
+  const startedAt = Date.now();
   socket.write(encodeFrame(self));
   const maxFrameBytes = options.maxFrameBytes ?? defaults.maxFrameBytes;
   const reader = new FrameReader(maxFrameBytes, Math.min(maxFrameBytes, MAX_HELLO_BYTES));
@@ -47,7 +49,7 @@
     const message = `peer uses protocol version ${peer.version}, expected ${self.version}`;
     return Err({ code: 'version_mismatch', message });
   }
-  const link = new PeerLink(socket, peer, reader, options, Date.now());
+  const link = new PeerLink(socket, peer, reader, options, startedAt);
   // Deferred, so that the caller can register the link before messages arrive.
   setImmediate(() => {
     link.dispatchAll(rest);
--- a/src/connection/peerLink.spec.ts
+++ b/src/connection/peerLink.spec.ts
@@ -132,6 +132,53 @@
     expect(isClosed).to.equal(true);
   });
 
+  // Both sides say hello without waiting, so a peer may send requests before its own hello has been read. Such a request
+  // was counted as sent at the end of the pause, and ran at the upstream after its deadline.
+  for (const reads of ['one read', 'two reads']) {
+    it(`guards against handling messages that follow a hello which a pause of the process has delayed, in ${reads}`, async () => {
+      let handled = 0;
+      const server = new LinkServer({
+        host: '127.0.0.1',
+        port: 0,
+        self: () => createHello('server'),
+        onLink: () => undefined,
+        handlers: {
+          cancel: () => {
+            handled += 1;
+          },
+        },
+        heartbeatTimeoutMs: 200,
+        heartbeatIntervalMs: 60_000,
+      });
+      const { port } = await server.listen();
+      const socket = connect(port, '127.0.0.1');
+      socket.setNoDelay(true);
+      // The server has said hello and waits for that of the peer.
+      await once(socket, 'data');
+      // A close with unread bytes is a reset.
+      socket.on('error', () => undefined);
+      const closed = new Promise((resolve) => {
+        socket.once('close', resolve);
+      });
+      const hello = encodeFrame(createHello('client'));
+      const request = encodeFrame({ type: 'cancel', attempt: 'expired' });
+      if (reads === 'one read') {
+        socket.write(Buffer.concat([hello, request]));
+      } else {
+        socket.write(hello);
+        // The rest of a frame is read later than the hello.
+        socket.write(request.subarray(0, 2));
+        setTimeout(() => socket.write(request.subarray(2)), 0);
+      }
+      const end = Date.now() + 300;
+      while (Date.now() < end);
+      await Promise.race([closed, new Promise((resolve) => setTimeout(resolve, 1_000))]);
+      socket.destroy();
+      server.close();
+      expect(handled).to.equal(0);
+    });
+  }
+
   it('guards against accepting a peer of another protocol version', async () => {
     const server = new LinkServer({
       host: '127.0.0.1',
--- a/src/connection/peerLink.ts
+++ b/src/connection/peerLink.ts
@@ -42,10 +42,11 @@
     readonly peer: Hello,
     private readonly reader: FrameReader,
     private readonly options: PeerLinkOptions,
-    now: number,
+    /** Time of this side's hello, in milliseconds; no message after the hello of the peer is older. */
+    startedAt: number,
   ) {
-    this.lastReceivedAt = now;
-    this.lastSentAt = now;
+    this.lastReceivedAt = startedAt;
+    this.lastSentAt = startedAt;
     socket.setNoDelay(true);
     socket.on('data', (data: Buffer) => {
       this.receive(data);
@@ -136,7 +137,14 @@
    * @param messages - Messages to dispatch
    */
   dispatchAll(messages: readonly Message[]): void {
-    for (const message of messages) this.dispatch(message);
+    for (const message of messages) {
+      // A pause while the bytes were decoded, or while an earlier message was handled, makes the rest as old as one before.
+      if (this.isTimedOut(Date.now())) {
+        this.destroy('heartbeat_timeout');
+        return;
+      }
+      this.dispatch(message);
+    }
   }
 
   private flush(): void {
@@ -163,14 +171,7 @@
       this.destroy('protocol_error');
       return;
     }
-    for (const message of read.value) {
-      // A pause while the bytes were decoded, or while an earlier message was handled, makes the rest as old as one before.
-      if (this.isTimedOut(Date.now())) {
-        this.destroy('heartbeat_timeout');
-        return;
-      }
-      this.dispatch(message);
-    }
+    this.dispatchAll(read.value);
   }
 
   private dispatch(message: Message): void {
