test: upstreams that send bytes on connections without a request

Fails on: a gateway program with 24 upstreams whose responses have no length and go on byte by byte, and that send 64 KB blocks, without end or 4 MB each, on each connection without a request. 60 callers, 4 s, 10 ordinary callers beside. Raw workers call a listener for connections that stay without a request for 50 ms.

--- a/test/standins/endlessWorker.ts
+++ b/test/standins/endlessWorker.ts
@@ -3,6 +3,8 @@
 import { formatHead, startRawWorker } from './rawWorker.js';
 
 const BLOCK_BYTES = 64 * 1024;
+/** Interval of the bytes of a response whose worker sends without end elsewhere. */
+const SLOW_INTERVAL_MS = 100;
 const HUGE_LENGTH = 1_000_000_000_000;
 const CHUNKED = 'Transfer-Encoding: chunked';
 const EVENT_STREAM = 'Content-Type: text/event-stream';
@@ -14,6 +16,11 @@
   readonly repeated: string;
   /** Creates each following block instead, from the number of blocks before it. */
   readonly createBlock?: (index: number) => string;
+  /** What connections without a request receive; the responses then go on byte by byte. */
+  readonly idle?: {
+    /** Bytes after which the connection is closed; without a bound by default. */
+    readonly maxBytes?: number;
+  };
 }
 
 const EVENTS_PER_CHUNK = 500;
@@ -97,6 +104,12 @@
     start: ({ requestId }) => `${formatHead(requestId, ['Content-Length: 2'])}ok`,
     repeated: 'a',
   },
+  idleBytes: { start: ({ requestId }) => formatHead(requestId), repeated: 'a', idle: {} },
+  idleBursts: {
+    start: ({ requestId }) => formatHead(requestId),
+    repeated: 'a',
+    idle: { maxBytes: 4 * 1024 * 1024 },
+  },
   nestedJson: {
     start: ({ requestId }) => formatHead(requestId, [CHUNKED, 'Content-Type: application/json']),
     repeated: formatBody('['.repeat(1_000)),
@@ -130,7 +143,7 @@
 export async function startEndlessWorker(id: string, part: EndlessPart): Promise<EndlessWorker> {
   let sentBytes = 0;
   let active = 0;
-  const response = allResponses[part];
+  const response: EndlessResponse = allResponses[part];
   const repeatedBlock = response.repeated.repeat(
     Math.ceil(BLOCK_BYTES / Math.max(1, response.repeated.length)),
   );
@@ -142,12 +155,36 @@
       setImmediate(send, socket, index + 1);
     });
   };
-  const worker = await startRawWorker(id, (socket, request) => {
-    active += 1;
-    socket.once('close', () => (active -= 1));
-    socket.write(response.start(request));
-    send(socket);
-  });
+  const { idle } = response;
+  const sendIdle = (socket: Socket, sent = 0): void => {
+    if (socket.destroyed) return;
+    if (sent >= (idle?.maxBytes ?? Infinity)) {
+      socket.end();
+      return;
+    }
+    sentBytes += repeatedBlock.length;
+    socket.write(repeatedBlock, 'latin1', () => {
+      setImmediate(sendIdle, socket, sent + repeatedBlock.length);
+    });
+  };
+  const sendSlowly = (socket: Socket): void => {
+    const timer = setInterval(() => socket.write('a'), SLOW_INTERVAL_MS);
+    socket.once('close', () => {
+      clearInterval(timer);
+    });
+  };
+  const worker = await startRawWorker(
+    id,
+    (socket, request) => {
+      active += 1;
+      socket.once('close', () => (active -= 1));
+      socket.write(response.start(request));
+      if (idle === undefined) send(socket);
+      else sendSlowly(socket);
+    },
+    0,
+    idle === undefined ? undefined : sendIdle,
+  );
   return {
     ...worker,
     get sentBytes() {
--- a/test/standins/rawWorker.ts
+++ b/test/standins/rawWorker.ts
@@ -27,6 +27,8 @@
 }
 
 const CLOSING_MS = 50;
+/** A connection without a byte of a request for this long counts as idle. */
+const IDLE_MS = 50;
 const HEAD_END = '\r\n\r\n';
 
 /**
@@ -35,12 +37,14 @@
  * @param id - Instance id
  * @param respond - Writes the response; called once per request with the socket that it arrived on
  * @param listenPort - Port of an earlier worker in whose place this one starts; a free one by default
+ * @param onIdle - Called with each connection on which no request arrives for a while
  * @returns The running stand-in
  */
 export async function startRawWorker(
   id: string,
   respond: (socket: Socket, request: RawRequest) => void,
   listenPort = 0,
+  onIdle?: (socket: Socket) => void,
 ): Promise<RawWorker> {
   const requests: RawRequest[] = [];
   const sockets = new Set<Socket>();
@@ -52,9 +56,14 @@
     socket.on('end', () => {
       socket.destroy();
     });
+    const idleTimer = setTimeout(() => onIdle?.(socket), IDLE_MS);
+    socket.once('close', () => {
+      clearTimeout(idleTimer);
+    });
     let received = '';
     socket.setEncoding('latin1').on('data', (text: string) => {
       received += text;
+      clearTimeout(idleTimer);
       const parsed = parseRequest(received, requests.length);
       if (parsed === undefined) return;
       received = '';
