fix: bytes on a connection without a request end it beyond a bound

Ordinary callers got late or no answers while upstreams sent bytes on the idle connections that show whether they outlive a response without a length.

Cause: a witness read and dropped whatever came, in reads of 64 KB, on up to eight connections one after the other.

It now reads into 4 KB that all witnesses share. Beyond 8 KB on all connections of a response, the connection is closed and not replaced, and the response counts as unproven. A short response such as 408 before an orderly end stays harmless, also on several connections. The fault is counted in connection_faults_idle_bytes and logged once a second at most, with the upstream and the number of faults between the lines.

--- a/src/cli/agentCommand.ts
+++ b/src/cli/agentCommand.ts
@@ -1,3 +1,4 @@
+import { connectionFaults } from '../connection/connectionFaults.js';
 import { startAgent } from '../process/agent/agentDaemon.js';
 import { readClock } from '../process/agent/clock.js';
 import { GroupMember } from '../process/group/groupMember.js';
@@ -22,6 +23,9 @@
     const { options, logLevel } = settings.value;
     openLog(logLevel);
     const logger = createLogger(options.processId);
+    connectionFaults.configure((fields, message) => {
+      logger.warn(fields, message);
+    });
     const parts = createDistribution(options, 'agent');
     const { store, distribution } = parts;
     const metrics = new Metrics();
--- a/src/cli/entryCommand.ts
+++ b/src/cli/entryCommand.ts
@@ -1,3 +1,4 @@
+import { connectionFaults } from '../connection/connectionFaults.js';
 import { startEntry } from '../process/entry/entryDaemon.js';
 import { createLogger, openLog } from '../process/logging.js';
 import { Metrics } from '../process/metrics.js';
@@ -20,6 +21,9 @@
     const { options, logLevel } = settings.value;
     openLog(logLevel);
     const logger = createLogger(options.processId);
+    connectionFaults.configure((fields, message) => {
+      logger.warn(fields, message);
+    });
     const parts = createDistribution(options, 'entry');
     const { store, distribution } = parts;
     const metrics = new Metrics();
--- a/src/connection/processWitness.ts
+++ b/src/connection/processWitness.ts
@@ -2,6 +2,7 @@
 import { connect } from 'node:net';
 import { setImmediate as waitForTurn, setTimeout as sleep } from 'node:timers/promises';
 import { startTimeout } from '../startTimeout.js';
+import { connectionFaults } from './connectionFaults.js';
 import { parseAddress } from './linkClient.js';
 import { probeListener } from './probeListener.js';
 import { bodylessStatuses, isFramed } from './responseFraming.js';
@@ -13,6 +14,10 @@
 const MAX_CLOSING_MS = 200;
 /** An upstream may close an idle connection; each one that it closes is replaced, up to this number. */
 const MAX_CONNECTIONS = 8;
+/** A server may send a short response, such as 408, before it closes an idle connection; see `MAX_CONNECTIONS`. */
+const MAX_IDLE_BYTES = 8 * 1024;
+/** What arrives is not used, so all connections read into the same memory, and no more than this at a time. */
+const discarded = Buffer.alloc(4 * 1024);
 
 export interface ProcessWitnessOptions {
   /** `ip:port` of the upstream. */
@@ -34,6 +39,8 @@
   /** Whether a connection that the upstream closes is replaced: until the response has ended. */
   private isReplaced = true;
   private connections = 0;
+  /** Bytes received on all connections, none of which carries a request. */
+  private idleBytes = 0;
   private opened: Promise<boolean>;
 
   constructor(private readonly options: ProcessWitnessOptions) {
@@ -71,9 +78,29 @@
     return isAllowed ? this.open() : Promise.resolve(false);
   }
 
+  /**
+   * Counts bytes that nobody asked for, and closes the connection for good beyond the bound.
+   *
+   * @returns Whether to read on
+   */
+  private acceptIdle(bytes: number): boolean {
+    this.idleBytes += bytes;
+    if (this.idleBytes <= MAX_IDLE_BYTES) return true;
+    this.isOpen = false;
+    this.isReplaced = false;
+    const { address: upstream } = this.options;
+    connectionFaults.record('idle_bytes', { upstream, bytes: this.idleBytes }, performance.now());
+    this.socket?.destroy();
+    return false;
+  }
+
   private open(): Promise<boolean> {
     this.connections += 1;
-    const socket = connect({ ...parseAddress(this.options.address), noDelay: true });
+    const socket = connect({
+      ...parseAddress(this.options.address),
+      noDelay: true,
+      onread: { buffer: discarded, callback: (bytes) => this.acceptIdle(bytes) },
+    });
     this.socket = socket;
     return new Promise((resolve) => {
       const cancelTimeout = startTimeout(CONNECT_TIMEOUT_MS, () => {
@@ -89,7 +116,6 @@
         resolve(false);
         if (hasOpened) this.opened = this.replace();
       };
-      socket.resume();
       socket.once('end', end).once('close', end);
       socket.on('error', end);
       socket.once('connect', () => {
--- a/src/process/metricsServer.ts
+++ b/src/process/metricsServer.ts
@@ -1,5 +1,6 @@
 import type { Server, ServerResponse } from 'node:http';
 import polka from 'polka';
+import { connectionFaults } from '../connection/connectionFaults.js';
 import { createControlServer } from './controlServer.js';
 import type { Metrics } from './metrics.js';
 import { ProcessUsage } from './processUsage.js';
@@ -24,7 +25,7 @@
   polka({ server })
     .get('/metrics', (_request: unknown, response: ServerResponse) => {
       response.setHeader('Content-Type', 'text/plain');
-      response.end(formatMetrics(options.metrics) + formatUsage(usage));
+      response.end(formatMetrics(options.metrics) + formatFaults() + formatUsage(usage));
     })
     .get('/dump', (_request: unknown, response: ServerResponse) => {
       response.setHeader('Content-Type', 'application/json');
@@ -54,6 +55,13 @@
   return `${lines.join('\n')}\n`;
 }
 
+function formatFaults(): string {
+  const lines = connectionFaults.listCounts();
+  return lines
+    .map(([fault, count]) => `parsleyfold_connection_faults_${fault}_total ${count}\n`)
+    .join('');
+}
+
 function formatUsage(usage: ProcessUsage): string {
   const lines = Object.entries(usage.describe());
   return lines.map(([name, value]) => `parsleyfold_process_${name} ${value}\n`).join('');
