fix: the end of a response is reported once

When a caller left while its response was being written, `observeClose` called its listener twice: Node emits `close` on that response from within the `close` of its connection, and a listener that is removed meanwhile still runs. `observeDisconnect` reported the end of the connection and then its close.

Callers saw nothing of it, since the listeners so far (connection table, release of memory, abort of the work) may run twice; a connection counted one more served request.

Each function now keeps whether it has reported.

--- a/src/connection/responseClose.ts
+++ b/src/connection/responseClose.ts
@@ -9,7 +9,8 @@
 /**
  * Observes the end of a response: all of it was handed to the operating system, or its connection was closed.
  *
- * Node emits `close` only on the response that is being written, not on those that wait for it on the same connection.
+ * Node emits `close` only on the response that is being written, not on those that wait for it on the same connection. On
+ * the former it does so from within the `close` of the connection, whose listeners that were removed meanwhile still run.
  *
  * @param exchange - Request and response
  * @param listener - Called once
@@ -17,7 +18,10 @@
 export function observeClose(exchange: Exchange, listener: () => void): void {
   const { response } = exchange;
   const { socket } = exchange.request;
+  let hasFinished = false;
   const finish = (): void => {
+    if (hasFinished) return;
+    hasFinished = true;
     response.off('close', finish);
     socket.off('close', finish);
     listener();
@@ -42,7 +46,10 @@
 export function observeDisconnect(exchange: Exchange, listener: () => void): void {
   const { request, response } = exchange;
   const { socket } = request;
+  let hasFinished = false;
   const finish = (): void => {
+    if (hasFinished) return;
+    hasFinished = true;
     socket.off('end', finish);
     if (!response.writableFinished) listener();
   };
