fix: an entry ends the work for requests sent ahead when their caller leaves

After callers with chats sent ahead had gone, an ordinary chat of the same workspace got no answer for 8 s and more: the engine worked for those who had left, and the fair queue lets a workspace wait for its own requests.

Cause: the entry aborted a request when its response emitted `close`. Node emits that only on the response that is being written; those that wait behind it on the connection never close. So up to seven requests of each connection went on until their time limits, and were counted as in progress for good.

--- a/src/request/http/httpServer.ts
+++ b/src/request/http/httpServer.ts
@@ -236,7 +236,8 @@
     }
     const disconnected = new AbortController();
     this.active += 1;
-    response.once('close', () => {
+    // Without `observeClose` the work for requests that were sent ahead would go on after their caller has left.
+    observeClose({ request, response }, () => {
       this.active -= 1;
       if (!response.writableFinished) disconnected.abort();
       context.metrics.recordLatency('request', Date.now() - readAt);
