test: bench of the calm path through a gateway

`npm run bench -- gatewayPath` starts the gateway program, an upstream in a process of its own and callers on kept connections, and measures processor time of the gateway for each request with a short body and each event of a stream. There was only a bench of an entry.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -8,6 +8,11 @@
     defaultCount: 2000,
     load: () => loadRun('./benches/path.js', 'benchPath'),
   },
+  gatewayPath: {
+    summary: 'CPU time of one gateway process for each request and each event, in calm',
+    defaultCount: 4000,
+    load: () => loadRun('./benches/gatewayPath.js', 'benchGatewayPath'),
+  },
   experts: {
     summary: 'step-time skew and moves of the placement policies over a day of drifting load',
     defaultCount: 1,
