fix: the id of a request is logged up to 128 characters

A caller chooses its id, and the log repeated it in full in each line about a request, up to the length of a head: 15,000 characters a line, 400 lines a second. An id of the usual length is logged as before; of a longer one the first 128 characters and its length. One transform of the logger does this, so that no line is forgotten.

--- a/src/process/logging.ts
+++ b/src/process/logging.ts
@@ -1,6 +1,10 @@
 import './enableRoarr.js';
+import type { MessageContext, TransformMessageFunction } from 'roarr';
 import { Roarr, ROARR } from 'roarr';
 
+/** A caller chooses its id, which may be as long as a head. */
+const MAX_ID_CHARACTERS = 128;
+
 /** Stable field names of log lines. */
 export interface LogFields {
   readonly workspace?: string;
@@ -50,5 +54,13 @@
  * @returns The logger
  */
 export function createLogger(processId: string): Logger {
-  return Roarr.child({ application: 'parsleyfold', processId });
+  return Roarr.child({ application: 'parsleyfold', processId }).child(limitRequestId);
 }
+
+/** Shortens the id of a request, with its length in place of the rest. */
+const limitRequestId: TransformMessageFunction<MessageContext> = (message) => {
+  const { requestId } = message.context;
+  if (typeof requestId !== 'string' || requestId.length <= MAX_ID_CHARACTERS) return message;
+  const limited = `${requestId.slice(0, MAX_ID_CHARACTERS)}... (${requestId.length} characters)`;
+  return { ...message, context: { ...message.context, requestId: limited } };
+};
