fix: a response that waits for memory is not ended before those that grow

Cause: far beyond the limit, the hold that had not moved for longest was ended. One that waits can't move, and a response without end moves all the time. Holds that wait are now ended only if no other can be, the largest first.

Before: the new test ends the waiting one.

--- a/src/connection/callerMemory.spec.ts
+++ b/src/connection/callerMemory.spec.ts
@@ -146,4 +146,19 @@
     memory.advance(1_000);
     expect(memory.describe()).to.include({ usedBytes: 0, holds: 0, waiting: 0 });
   });
+
+  // A sound response that waited for memory was ended, because those without an end made progress all the time.
+  it('guards against holds that are ended because they wait while others grow', () => {
+    const [first, second] = [open('first', 0), open('second', 0)];
+    fill(first, 200, 0);
+    fill(second, 50, 0);
+    fill(open('waiting', 10), 8, 10);
+    expect(events).to.deep.equal(['suspended waiting']);
+    const isEvicted = (): boolean => events.some((event) => event.startsWith('evicted'));
+    for (let now = 20; !isEvicted(); now += 10) {
+      fill(second, 50 + now / 2, now);
+      if (!isEvicted()) fill(first, 200 + 2 * now, now + 5);
+    }
+    expect(events).to.not.include('evicted waiting');
+  });
 });
--- a/src/connection/callerMemory.ts
+++ b/src/connection/callerMemory.ts
@@ -229,19 +229,34 @@
       if (!hold.isWaiting && hold.isEvictable && now - hold.movedAt >= STALL_MS) this.end(hold);
   }
 
-  /** Ends the holds that have been without progress for longest while the limit is far exceeded. */
+  /** Ends holds while the limit is far exceeded: those without progress for longest, then the largest that wait. */
   private endOldest(now: number): void {
     while (this.usedBytes > this.hardLimit && this.holds.size > 1) {
-      let oldest: MemoryHold | undefined;
-      for (const hold of this.holds) {
-        if (!hold.isEvictable || hold.movedAt >= now) continue;
-        if (oldest === undefined || hold.movedAt < oldest.movedAt) oldest = hold;
-      }
-      if (oldest === undefined) return;
-      this.end(oldest);
+      // One that waits can't make progress, so the time since then says nothing about it.
+      const next = this.findOldest(now) ?? this.findLargestWaiting(now);
+      if (next === undefined) return;
+      this.end(next);
     }
   }
 
+  private findOldest(now: number): MemoryHold | undefined {
+    let oldest: MemoryHold | undefined;
+    for (const hold of this.holds) {
+      if (!hold.isEvictable || hold.isWaiting || hold.movedAt >= now) continue;
+      if (oldest === undefined || hold.movedAt < oldest.movedAt) oldest = hold;
+    }
+    return oldest;
+  }
+
+  private findLargestWaiting(now: number): MemoryHold | undefined {
+    let largest: MemoryHold | undefined;
+    for (const hold of this.waiting) {
+      if (!hold.isEvictable || hold.movedAt >= now) continue;
+      if (largest === undefined || hold.size > largest.size) largest = hold;
+    }
+    return largest;
+  }
+
   private end(hold: MemoryHold): void {
     const { options, counted } = hold;
     hold.release();
