fix: upstreams are not blamed for what the gateway did to their responses

A response below 1 MB that is ended for its memory is no fault of its upstream; only bodies of less than 4 bytes a part on average are blamed for their time, which responses_fragmented counts; a stalled group is concluded only from a connection that ends.

--- a/src/request/forwarding/attemptHandlers.ts
+++ b/src/request/forwarding/attemptHandlers.ts
@@ -3,7 +3,8 @@
 import type { FinalOutcome, Forwarding } from './forwarding.js';
 import { CONFIGURATION_RETRY_AFTER_MS } from './forwarding.js';
 import { logAbortedAttempt, logBrokenAttempt } from './forwardLog.js';
-import type { AttemptOutcome, ResponseProgress } from './types.js';
+import { RESERVED_BYTES } from './bufferBudget.js';
+import type { AttemptOutcome, BreakCode, ResponseProgress } from './types.js';
 
 /** Responses from this status on are failures of the upstream. */
 export const MIN_SERVER_ERROR_STATUS = 500;
@@ -13,10 +14,12 @@
 const GROUP_FAILURE_STALL_MS = 700;
 /** Events that an upstream may still send before it crashes on the request. */
 const MAX_EVENTS_BEFORE_CRASH = 2;
+/** Ways in which a response ends when its upstream aborts it; the others are found in what it sends. */
+const connectionEndCodes: ReadonlySet<BreakCode> = new Set(['truncated', 'unproven']);
 /** Parts of a body from which on their mean size tells about its upstream. */
 const MIN_FRAGMENTS = 10_000;
 /** Parts of a sound body are larger on average, even if it is sent in small writes. */
-const MAX_FRAGMENT_BYTES = 16;
+const MAX_FRAGMENT_BYTES = 4;
 /** Upstreams that may be unreachable before the request fails. */
 const MAX_UNREACHABLE_UPSTREAMS = 4;
 
@@ -88,9 +91,10 @@
     const { context, admitted, keys } = forwarding;
     const now = context.readClock();
     forwarding.mayHaveRun = true;
-    context.balancer.recordFault(reservation.upstream.id, now);
+    if (isUpstreamFault(outcome)) context.balancer.recordFault(reservation.upstream.id, now);
     const stalledMs = context.balancer.health.computeStallMs(reservation.upstream.id, now);
-    const isGroupStalled = stalledMs > GROUP_FAILURE_STALL_MS;
+    const isGroupStalled =
+      connectionEndCodes.has(outcome.code) && stalledMs > GROUP_FAILURE_STALL_MS;
     if (isGroupStalled) context.balancer.health.recordFailure(reservation.upstream.id, now);
     const confirmed = confirmCrash(forwarding, outcome, reservation, { isGroupStalled, stalledMs });
     if (!isRepeatAllowed(forwarding)) return endWithError(forwarding, 'broken');
@@ -103,13 +107,20 @@
   aborted: (forwarding, outcome, reservation) => {
     const { context } = forwarding;
     logAbortedAttempt(forwarding, outcome, reservation.upstream);
-    if (outcome.reason === 'time_limit' && isFragmented(outcome.progress))
+    if (outcome.reason === 'time_limit' && isFragmented(outcome.progress)) {
+      context.metrics.addCount('responses_fragmented');
       context.balancer.recordFault(reservation.upstream.id, context.readClock());
+    }
     forwarding.mayHaveRun = true;
     return endAborted(forwarding);
   },
 };
 
+/** A small response that was ended because others needed its memory says nothing about its upstream. */
+function isUpstreamFault({ code, progress }: BrokenAttempt): boolean {
+  return code !== 'memory' || progress.bodyBytes > RESERVED_BYTES;
+}
+
 /** Whether a body came in so many tiny parts that its upstream, and not its size, is why it did not end in time. */
 function isFragmented({ bodyBytes, bodyParts }: ResponseProgress): boolean {
   return bodyParts >= MIN_FRAGMENTS && bodyBytes < bodyParts * MAX_FRAGMENT_BYTES;
