fix: calls and orders of an agent are read within bounds, and a status that is none is no answer to them

Callers of a service behind an agent lost their requests with the agent's process: chunks of one byte took 400 MB for 8 calls and 365 MB for 8 orders. A call also passed 600, 700, 999 and an unasked 206 on as done, and an order counted as done.

Cause: each read of the parser was kept as a buffer of its own, the limit counted content only, and nothing bounded framing or checked the status. Both now use BoundedConnection.

--- a/src/process/agent/upstreams/failure.ts
+++ b/src/process/agent/upstreams/failure.ts
@@ -1,4 +1,5 @@
 import { errors } from 'undici';
+import { BadResponseError } from '../../../connection/boundedConnection.js';
 import type { ExchangeResult } from './types.js';
 
 /** Errors raised before a connection was established, so nothing can have reached the upstream. */
@@ -59,9 +60,7 @@
   const started = !isConnectError(error);
   const code = readErrorCode(error);
   const reason = isTruncation(error) ? 'response was truncated' : code || 'unknown error';
-  const message = started
-    ? `connection to the upstream was lost (${reason})`
-    : `could not connect to the upstream (${code})`;
+  const message = describeFailure(error, started ? reason : code, started);
   const possibleCrash = started && (CONNECTION_LOST_CODES.has(code) || isTruncation(error));
   return {
     kind: 'failed',
@@ -73,6 +72,12 @@
   };
 }
 
+function describeFailure(error: unknown, reason: string, started: boolean): string {
+  if (!started) return `could not connect to the upstream (${reason})`;
+  if (error instanceof BadResponseError) return `upstream sent no valid response: ${error.message}`;
+  return `connection to the upstream was lost (${reason})`;
+}
+
 /** The parser states no code if the connection ends within a response after which it would have been closed. */
 function isTruncation(error: unknown): boolean {
   return error instanceof errors.HTTPParserError && readErrorCode(error) === '';
--- a/src/process/agent/upstreams/orderExchange.ts
+++ b/src/process/agent/upstreams/orderExchange.ts
@@ -1,8 +1,5 @@
-import { Client } from 'undici';
-import { createWitness } from '../../../connection/processWitness.js';
-import type { ProcessWitness } from '../../../connection/processWitness.js';
-import { createObservedConnector } from '../../../connection/observedConnector.js';
-import { MIN_FINAL_STATUS } from '../../../connection/responseFraming.js';
+import { BoundedClient } from '../../../connection/boundedClient.js';
+import type { ResponseHeaders } from '../../../connection/boundedConnection.js';
 import { defaults } from '../../../defaults.js';
 import type { OrderOutcome } from '../orderMemory.js';
 
@@ -40,105 +37,59 @@
  * @param exchange - Order and claim
  * @returns How the exchange ended; the promise never rejects
  */
-export function sendOrder(exchange: OrderExchange): Promise<SendResult> {
-  let hasReset = false;
-  const client = new Client(exchange.url, {
-    pipelining: 1,
-    headersTimeout: defaults.maxDeadlineMs,
-    bodyTimeout: defaults.maxDeadlineMs,
-    connect: createObservedConnector(() => {
-      hasReset = true;
-    }),
-  });
-  return new Promise((resolve) => {
-    let claimed = false;
-    let abort: ((reason: Error) => void) | undefined;
-    const finish = (end: SendResult): void => {
-      exchange.signal.removeEventListener('abort', onAbort);
-      witness?.close();
-      resolve(end);
-      client.destroy().catch(() => undefined);
-    };
-    const onAbort = (): void => {
-      abort?.(new Error('drain limit reached'));
-      finish(createNoResponseResult(claimed, 'agent stopped while the order was running'));
-    };
-    exchange.signal.addEventListener('abort', onAbort, { once: true });
-
-    let witness: ProcessWitness | undefined;
-    let status = 0;
-    let refused = false;
-    let size = 0;
-    const parts: Buffer[] = [];
-    client.dispatch(
-      {
-        path: '/orders',
-        method: 'POST',
-        reset: true,
-        headers: {
-          'content-type': 'application/json',
-          'x-order-id': exchange.order,
-          'x-order-caller': exchange.caller,
-        },
-        body: Buffer.from(exchange.body),
+export async function sendOrder(exchange: OrderExchange): Promise<SendResult> {
+  let claimed = false;
+  try {
+    const { status, headers, body } = await new BoundedClient().send(`${exchange.url}/orders`, {
+      method: 'POST',
+      headers: {
+        'content-type': 'application/json',
+        'x-order-id': exchange.order,
+        'x-order-caller': exchange.caller,
       },
-      {
-        // undici calls this right before the first write, and would call it again before a retry.
-        onRequestStart: (controller) => {
-          abort = (reason) => {
-            controller.abort(reason);
-          };
-          if (!claimed && !exchange.signal.aborted && exchange.claim()) claimed = true;
-          else controller.abort(new Error('order may no longer be sent'));
-        },
-        onResponseStart: (_controller, statusCode, headers) => {
-          if (statusCode < MIN_FINAL_STATUS) return;
-          status = statusCode;
-          witness = createWitness(exchange, statusCode, headers);
-          refused = statusCode === 503 && headers['x-not-run'] === 'true';
-        },
-        onResponseData: (controller, data) => {
-          size += data.length;
-          if (size > MAX_RESPONSE_BYTES)
-            controller.abort(new Error('response exceeds the size limit'));
-          else parts.push(data);
-        },
-        onResponseEnd: () => {
-          if (hasReset) {
-            finish(createNoResponseResult(claimed, 'connection was reset within the response'));
-            return;
-          }
-          if (refused) {
-            const reason = 'upstream refused the order before running it';
-            finish({
-              kind: 'ended',
-              outcome: { state: 'not-run', reason, status, body: EMPTY_BODY },
-            });
-            return;
-          }
-          if (AMBIGUOUS_STATUSES.has(status)) {
-            finish(createNoResponseResult(claimed, `upstream responded with status ${status}`));
-            return;
-          }
-          const body = new Uint8Array(Buffer.concat(parts));
-          const outcome: OrderOutcome = { state: 'done', reason: '', status, body };
-          const settle = (isComplete: boolean): void => {
-            if (isComplete) finish({ kind: 'ended', outcome });
-            else finish(createNoResponseResult(claimed, 'response ended with its upstream'));
-          };
-          if (witness === undefined) settle(true);
-          else void witness.confirm().then(settle);
-        },
-        onResponseError: (_controller, error) => {
-          finish(createNoResponseResult(claimed, error.message));
-        },
+      body: exchange.body,
+      maxBytes: MAX_RESPONSE_BYTES,
+      timeoutMs: defaults.maxDeadlineMs,
+      signal: exchange.signal,
+      hasPaused: exchange.hasPaused,
+      isBodyNeeded: (status, headers) => findFixedOutcome(status, headers) === undefined,
+      confirmSend: () => {
+        if (!claimed && exchange.claim()) claimed = true;
+        else return new Error('order may no longer be sent');
+        return undefined;
       },
-    );
-  });
+    });
+    // The copy is kept with the order; the original may be a part of a larger buffer.
+    const done: OrderOutcome = { state: 'done', reason: '', status, body: new Uint8Array(body) };
+    return { kind: 'ended', outcome: findFixedOutcome(status, headers) ?? done };
+  } catch (error) {
+    const isStopped = exchange.signal.aborted;
+    const message = isStopped ? 'agent stopped while the order was running' : formatError(error);
+    return createNoResponseResult(claimed, message);
+  }
+}
+
+/** Finds the outcome of a response whose body does not matter. */
+function findFixedOutcome(status: number, headers: ResponseHeaders): OrderOutcome | undefined {
+  if (status === 503 && headers['x-not-run'] === 'true') {
+    const reason = 'upstream refused the order before running it';
+    return { state: 'not-run', reason, status, body: EMPTY_BODY };
+  }
+  if (AMBIGUOUS_STATUSES.has(status))
+    return createUnknownOutcome(`upstream responded with status ${status}`);
+  return undefined;
+}
+
+function createUnknownOutcome(message: string): OrderOutcome {
+  const reason = `no response to the order was received: ${message}`;
+  return { state: 'unknown', reason, status: 0, body: EMPTY_BODY };
 }
 
 function createNoResponseResult(claimed: boolean, message: string): SendResult {
   if (!claimed) return { kind: 'never-sent', reason: message };
-  const reason = `no response to the order was received: ${message}`;
-  return { kind: 'ended', outcome: { state: 'unknown', reason, status: 0, body: EMPTY_BODY } };
+  return { kind: 'ended', outcome: createUnknownOutcome(message) };
+}
+
+function formatError(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
 }
--- a/src/process/agent/upstreams/plain.ts
+++ b/src/process/agent/upstreams/plain.ts
@@ -1,4 +1,4 @@
-import { Agent, request } from 'undici';
+import { BoundedClient } from '../../../connection/boundedClient.js';
 import { createFailedResult } from './failure.js';
 import { sendDedicated } from './sendDedicated.js';
 import type { Exchange, ExchangeResult, UpstreamAdapter, UpstreamLoad } from './types.js';
@@ -13,7 +13,7 @@
  * @returns The adapter
  */
 export function createPlainAdapter(url: string, hasPaused: () => boolean): UpstreamAdapter {
-  const dispatcher = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+  const client = new BoundedClient();
 
   const run = async (exchange: Exchange): Promise<ExchangeResult> => {
     const { signal } = exchange;
@@ -38,9 +38,7 @@
   /** Any HTTP response shows that the process runs; plain services have no load counters. */
   const readLoad = async (timeoutMs: number): Promise<UpstreamLoad | undefined> => {
     try {
-      const signal = AbortSignal.timeout(timeoutMs);
-      const answer = await request(url, { method: 'HEAD', dispatcher, signal });
-      await answer.body.dump();
+      await client.send(url, { method: 'HEAD', maxBytes: 0, timeoutMs });
       return { running: 0, steps: 0 };
     } catch {
       return undefined;
@@ -50,6 +48,9 @@
   const prove = async (timeoutMs: number): Promise<boolean> =>
     (await readLoad(timeoutMs)) !== undefined;
 
-  const close = (): Promise<void> => dispatcher.destroy();
+  const close = (): Promise<void> => {
+    client.close();
+    return Promise.resolve();
+  };
   return { preemptible: false, run, readLoad, prove, close };
 }
