--- a/deploy/launch/undiciClient.mjs
+++ b/deploy/launch/undiciClient.mjs
@@ -6,3 +6,4 @@
 
 export { default as Client } from 'undici/lib/dispatcher/client.js';
 export { default as errors } from 'undici/lib/core/errors.js';
+export { default as buildConnector } from 'undici/lib/core/connect.js';
--- a/test/support/gatewayProgram.ts
+++ b/test/support/gatewayProgram.ts
@@ -31,6 +31,8 @@
   readonly seedPorts?: readonly number[];
   /** Heap limit of the process; that of Node by default. */
   readonly heapMb?: number;
+  /** Compiled program, relative to the root; compiled for the tests by default. */
+  readonly programFile?: string;
   /** Further sections of the settings file. */
   readonly sections?: readonly string[];
 }
@@ -78,10 +80,12 @@
     ...(options.sections ?? []),
   ];
   writeFileSync(file, sections.join('\n'));
-  const program = await buildProgram(rootDirectory, 'platform/main.ts');
+  const program = options.programFile ?? (await buildProgram(rootDirectory, 'platform/main.ts'));
   const heap = heapMb === undefined ? [] : [`--max-old-space-size=${heapMb}`];
   const child = spawn(process.execPath, [...heap, program, 'gateway', file], {
     cwd: rootDirectory,
+    // The bundle reads the path of its settings from the environment.
+    env: { ...process.env, PARSLEYFOLD_SETTINGS: file },
     stdio: ['ignore', 'pipe', 'ignore'],
   });
   const log: string[] = [];
