test: gateway programs beside peers that send frames without end

Eight links of a process of its own complete the hello and then send one kind of frame without end, 4 s, with 10 ordinary callers beside them.

--- a/test/support/endlessCrowd.ts
+++ b/test/support/endlessCrowd.ts
@@ -1,7 +1,9 @@
+import type { ChildProcess } from 'node:child_process';
 import { fork } from 'node:child_process';
 import { finished } from 'node:stream/promises';
 import { Client } from 'undici';
 import type { EndlessPart } from '../standins/endlessWorker.js';
+import type { LinkFlood } from '../standins/floodingPeer.js';
 import { startRawWorker } from '../standins/rawWorker.js';
 import { buildProgram } from './compiledPrograms.js';
 import { HEAP_MB, MAX_MEMORY_BYTES } from './crowdRun.js';
@@ -38,6 +40,8 @@
   /** Path of these callers, in turn. */
   readonly paths: readonly string[];
   readonly durationMs: number;
+  /** Links of other processes that send frames without end. */
+  readonly flood?: { readonly kind: LinkFlood; readonly links: number };
 }
 
 /** What a load has led to. */
@@ -95,7 +99,13 @@
   });
   try {
     await waitUntilProgramReady(gateway);
-    return await callBoth(load, gateway, host);
+    if (load.flood === undefined) return await callBoth(load, gateway, host);
+    const peers = await startFloodHost(gateway.linksPort, load.flood);
+    try {
+      return await callBoth(load, gateway, peers);
+    } finally {
+      peers.close();
+    }
   } finally {
     gateway.child.kill('SIGKILL');
     await gateway.ended;
@@ -157,7 +167,7 @@
 async function callBoth(
   load: EndlessLoad,
   gateway: GatewayProgram,
-  host: EndlessHost,
+  host: SendingHost,
 ): Promise<EndlessOutcome> {
   let exit: EndlessOutcome['exit'];
   void gateway.ended.then((ended) => {
@@ -270,12 +280,16 @@
   }
 }
 
-interface EndlessHost {
-  readonly workers: readonly PublishedWorker[];
+/** A process of stand-ins that send without end. */
+interface SendingHost {
   readSentBytes(): Promise<number>;
   close(): void;
 }
 
+interface EndlessHost extends SendingHost {
+  readonly workers: readonly PublishedWorker[];
+}
+
 async function startEndlessHost(parts: readonly EndlessPart[]): Promise<EndlessHost> {
   const program = await buildProgram(rootDirectory, 'test/support/endlessHost.ts');
   const child = fork(program, parts, {
@@ -289,8 +303,24 @@
   });
   await waitUntil('endless workers started', () => output.includes('\n'));
   const { workers } = JSON.parse(output) as { workers: PublishedWorker[] };
+  return { workers, ...createSendingHost(child) };
+}
+
+async function startFloodHost(
+  port: number,
+  { kind, links }: NonNullable<EndlessLoad['flood']>,
+): Promise<SendingHost> {
+  const program = await buildProgram(rootDirectory, 'test/support/floodHost.ts');
+  const child = fork(program, [String(port), String(links), kind], {
+    cwd: rootDirectory,
+    stdio: ['ignore', 'inherit', 'inherit', 'ipc'],
+    execArgv: [],
+  });
+  return createSendingHost(child);
+}
+
+function createSendingHost(child: ChildProcess): SendingHost {
   return {
-    workers,
     readSentBytes: () =>
       new Promise((resolve) => {
         child.once('message', (bytes) => {
--- a/test/support/gatewayProgram.ts
+++ b/test/support/gatewayProgram.ts
@@ -42,6 +42,7 @@
   readonly url: string;
   readonly readyUrl: string;
   readonly metricsUrl: string;
+  readonly linksPort: number;
   /** Lines of its log, in order. */
   readonly log: readonly string[];
   /** Resolves with the exit code, or the signal that ended the process. */
@@ -102,6 +103,7 @@
     url: `http://127.0.0.1:${ports.front}`,
     readyUrl: `http://127.0.0.1:${ports.ready}/ready`,
     metricsUrl: `http://127.0.0.1:${ports.metrics}/metrics`,
+    linksPort: ports.links,
     log,
     ended,
   };
