fix: frames of links are read in slices, and a gateway ends a link that floods or is not read

Ordinary callers of a gateway were answered late while other processes sent frames without end.

Cause: a link decoded and handled all frames of a read of 64 KB at once, up to 3,100, for each link in turn. What is sent to a peer that does not read was queued without a bound.

Links now read in slices of 1 to 64 KB, which a ReadScheduler of their own (no change in it) gives 1 ms of a turn; the socket is paused while the rest waits. A gateway closes a link of another gateway that takes more than a fifth of the time by 0.5 s, or leaves 8 MB unread. Links of entries, agents and ranks share the time but have no such bounds, as their honest load has none. Faults, also broken frames, are counted in connection_faults_link_REASON and logged with the peer, once a second each.

--- a/src/connection/connectionFaults.ts
+++ b/src/connection/connectionFaults.ts
@@ -4,7 +4,7 @@
 const LOG_INTERVAL_MS = 1_000;
 
 /** What the other end of a connection has violated. */
-export type ConnectionFault = 'idle_bytes';
+export type ConnectionFault = 'idle_bytes' | 'link_flooded' | 'link_unread' | 'link_protocol_error';
 
 /** Writes a line about a fault, as the `warn` of a logger does. */
 export type FaultLog = (fields: LogFields, message: string) => void;
--- a/src/connection/peerLink.spec.ts
+++ b/src/connection/peerLink.spec.ts
@@ -132,6 +132,90 @@
     expect(isClosed).to.equal(true);
   });
 
+  // Frames are read in slices between which the socket is paused.
+  it('guards against messages that are lost or reordered while a link waits for its turn', async () => {
+    const messages = 50_000;
+    const received: string[] = [];
+    const server = new LinkServer({
+      host: '127.0.0.1',
+      port: 0,
+      self: () => createHello('server'),
+      onLink: () => undefined,
+      handlers: { cancel: ({ attempt }) => received.push(attempt) },
+    });
+    const { port } = await server.listen();
+    const opened = await openLink({
+      address: `127.0.0.1:${port}`,
+      self: () => createHello('client'),
+      handlers: {},
+    });
+    const link = opened.unwrap();
+    for (let index = 0; index < messages; index += 1)
+      link.send({ type: 'cancel', attempt: `a${index}` });
+    await waitUntil('all received', () => received.length === messages, { timeoutMs: 10_000 });
+    server.close();
+    expect(received).to.deep.equal(Array.from({ length: messages }, (_, index) => `a${index}`));
+  });
+
+  it('guards against a peer that takes more than its share of the time', async () => {
+    const reasons: string[] = [];
+    const server = new LinkServer({
+      host: '127.0.0.1',
+      port: 0,
+      self: () => createHello('server'),
+      maxReadShare: 0.2,
+      onLink: (link) => {
+        link.onClose((reason) => reasons.push(reason));
+      },
+      handlers: {
+        cancel: () => {
+          const until = performance.now() + 0.5;
+          while (performance.now() < until);
+        },
+      },
+    });
+    const { port } = await server.listen();
+    const opened = await openLink({
+      address: `127.0.0.1:${port}`,
+      self: () => createHello('client'),
+      handlers: {},
+    });
+    const link = opened.unwrap();
+    for (let index = 0; index < 5_000; index += 1) link.send({ type: 'cancel', attempt: 'a' });
+    await waitUntil('link closed', () => reasons.length > 0, { timeoutMs: 5_000 });
+    server.close();
+    expect(reasons).to.deep.equal(['flooded']);
+  });
+
+  it('guards against messages that are kept for a peer that does not read', async () => {
+    const links: PeerLink[] = [];
+    const server = new LinkServer({
+      host: '127.0.0.1',
+      port: 0,
+      self: () => createHello('server'),
+      maxUnsentBytes: 1024 * 1024,
+      onLink: (link) => links.push(link),
+      handlers: {},
+    });
+    const { port } = await server.listen();
+    const socket = connect(port, '127.0.0.1');
+    socket.on('error', () => undefined).pause();
+    socket.write(encodeFrame(createHello('client')));
+    await waitUntil('linked', () => links.length > 0);
+    const [link] = links;
+    const reasons: string[] = [];
+    link?.onClose((reason) => reasons.push(reason));
+    const message: Message = { type: 'cancel', attempt: 'a'.repeat(64 * 1024) };
+    await waitUntil('link closed', () => {
+      link?.send(message);
+      return reasons.length > 0;
+    });
+    expect(reasons).to.deep.equal(['unread']);
+    expect(link?.bufferedBytes).to.be.at.most(1024 * 1024);
+    socket.destroy();
+    server.close();
+  });
+
   it('guards against accepting a peer of another protocol version', async () => {
     const server = new LinkServer({
       host: '127.0.0.1',
--- a/src/connection/peerLink.ts
+++ b/src/connection/peerLink.ts
@@ -3,6 +3,15 @@
 import type { Message, MessageOf, MessageType } from '../protocol/messages.js';
 import type { FrameReader } from './frameCodec.js';
 import { encodeFrame } from './frameCodec.js';
+import { connectionFaults } from './connectionFaults.js';
+import { ReadScheduler, ScheduledReader } from './readScheduler.js';
+
+/** Shared by all links of this process. */
+const linkScheduler = new ReadScheduler();
+/** A pause of the process within a slice counts as no more than this towards the time that a link takes. */
+const MAX_COUNTED_MS = 100;
+/** Time of the event loop that a link may take beyond its share, such as for the greetings of a new link. */
+const MAX_EXCESS_MS = 500;
 
 export type Hello = MessageOf<'hello'>;
 
@@ -14,6 +23,10 @@
 export interface PeerLinkOptions {
   readonly handlers: MessageHandlers;
   readonly maxFrameBytes?: number;
+  /** Share of the time of the event loop above which a link is closed, after `MAX_EXCESS_MS`; none by default. */
+  readonly maxReadShare?: number;
+  /** Bytes that the peer may leave unread before the link is closed; no bound by default. */
+  readonly maxUnsentBytes?: number;
   readonly heartbeatIntervalMs?: number;
   readonly heartbeatTimeoutMs?: number;
   readonly heartbeatCheckMs?: number;
@@ -22,7 +35,15 @@
 }
 
 /** Why a link was closed. */
-export type CloseReason = 'closed' | 'heartbeat_timeout' | 'protocol_error' | 'hello_timeout';
+export type CloseReason =
+  | 'closed'
+  | 'heartbeat_timeout'
+  | 'protocol_error'
+  | 'hello_timeout'
+  /** The peer sends more than may be read in its share of the time. */
+  | 'flooded'
+  /** The peer does not read what is sent to it. */
+  | 'unread';
 
 /** One framed connection to a peer that has completed the hello exchange. */
 export class PeerLink {
@@ -32,6 +53,15 @@
   private readonly batch: Buffer[] = [];
   private readonly closeListeners: ((reason: CloseReason) => void)[] = [];
   private readonly heartbeatTimer: NodeJS.Timeout;
+  private readonly scheduled = new ScheduledReader(() => {
+    this.readUnread();
+  });
+  /** What has been received and waits for its turn; the socket is paused meanwhile. */
+  private unread: Buffer = Buffer.alloc(0);
+  private batchBytes = 0;
+  /** Time taken beyond the share, in milliseconds, at `excessAt`. */
+  private excessMs = 0;
+  private excessAt = performance.now();
   private closed = false;
   private lastSentAt: number;
   private closeReason: CloseReason = 'closed';
@@ -97,6 +127,12 @@
     this.counters.sent += 1;
     this.counters.bytesSent += frame.length;
     this.batch.push(frame);
+    this.batchBytes += frame.length;
+    const unsent = this.batchBytes + this.socket.writableLength;
+    if (unsent > (this.options.maxUnsentBytes ?? Infinity)) {
+      this.fail('unread', unsent);
+      return false;
+    }
     if (this.batch.length === 1)
       setImmediate(() => {
         this.flush();
@@ -143,6 +179,7 @@
     if (this.batch.length === 0 || this.socket.destroyed) return;
     const data = this.batch.length === 1 ? this.batch[0] : Buffer.concat(this.batch);
     this.batch.length = 0;
+    this.batchBytes = 0;
     this.lastSentAt = Date.now();
     if (data !== undefined) this.socket.write(data);
   }
@@ -158,9 +195,34 @@
     this.lastReceivedAt = now;
     this.counters.bytesReceived += data.length;
     this.options.onBytesReceived?.(data.length);
-    const read = this.reader.readMessages(data);
+    this.unread = data;
+    this.readUnread();
+  }
+
+  /** Reads in slices, as the scheduler permits; the socket is paused while the rest waits. */
+  private readUnread(): void {
+    const { scheduled } = this;
+    while (this.unread.length > 0 && !this.socket.destroyed) {
+      const maxBytes = linkScheduler.beginSlice(scheduled, performance.now());
+      if (maxBytes === 0) {
+        this.socket.pause();
+        return;
+      }
+      const slice = this.unread.subarray(0, maxBytes);
+      this.unread = this.unread.subarray(slice.length);
+      const usedMs = scheduled.usedMs;
+      this.readSlice(slice);
+      const now = performance.now();
+      linkScheduler.endSlice(scheduled, now);
+      this.checkShare(Math.min(scheduled.usedMs - usedMs, MAX_COUNTED_MS), now);
+    }
+    if (this.socket.isPaused()) this.socket.resume();
+  }
+
+  private readSlice(slice: Buffer): void {
+    const read = this.reader.readMessages(slice);
     if (read.isErr()) {
-      this.destroy('protocol_error');
+      this.fail('protocol_error', slice.length, read.error.code);
       return;
     }
     for (const message of read.value) {
@@ -173,6 +235,29 @@
     }
   }
 
+  /** Closes the link if it has taken more than its share of the time for too long. */
+  private checkShare(tookMs: number, now: number): void {
+    const { maxReadShare } = this.options;
+    if (maxReadShare === undefined) return;
+    const allowedMs = (now - this.excessAt) * maxReadShare;
+    this.excessMs = Math.max(0, this.excessMs - allowedMs) + tookMs;
+    this.excessAt = now;
+    if (this.excessMs > MAX_EXCESS_MS) this.fail('flooded', this.counters.bytesReceived);
+  }
+
+  /** Closes the link for a fault of the peer. */
+  private fail(
+    reason: 'flooded' | 'unread' | 'protocol_error',
+    bytes: number,
+    code?: string,
+  ): void {
+    if (this.socket.destroyed) return;
+    const { processId, host } = this.peer;
+    const fields = { peer: processId, address: host, bytes, code };
+    connectionFaults.record(`link_${reason}`, fields, performance.now());
+    this.destroy(reason);
+  }
+
   private dispatch(message: Message): void {
     this.counters.received += 1;
     // Both sides send pings, so replies would only double the traffic of an idle link.
@@ -200,6 +285,8 @@
   private handleClose(): void {
     if (this.closed) return;
     this.closed = true;
+    linkScheduler.remove(this.scheduled, performance.now());
+    this.unread = Buffer.alloc(0);
     clearInterval(this.heartbeatTimer);
     for (const listener of this.closeListeners) listener(this.closeReason);
   }
--- a/src/process/gateway/gatewayPeers.ts
+++ b/src/process/gateway/gatewayPeers.ts
@@ -20,6 +20,12 @@
 const COUNT_REFRESH_INTERVAL_MS = 1_000;
 /** A gateway without a link is counted as running for this long; a partition may last minutes. */
 const UNLINKED_TTL_MS = 600_000;
+/** A gateway sends about 400 frames a second; decoding them takes about 2 ms. */
+const MAX_READ_SHARE = 0.2;
+/** Several of the largest replies. */
+const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
+const linkBounds = { maxReadShare: MAX_READ_SHARE, maxUnsentBytes: MAX_UNSENT_BYTES } as const;
+
 export interface GatewayPeersOptions {
   /** Address on which this gateway accepts links, `ip:port`. */
   readonly address: string;
@@ -76,6 +82,7 @@
       host,
       port: Number(port),
       self: options.self,
+      ...linkBounds,
       handlers: this.createHandlers(),
       onLink: (link) => {
         this.addLink(link);
@@ -229,6 +236,7 @@
     void maintainLink({
       address,
       self: options.self,
+      ...linkBounds,
       handlers: this.createHandlers(),
       signal: options.signal,
       onLink: (link) => {
--- a/src/process/gateway/peerTopics.ts
+++ b/src/process/gateway/peerTopics.ts
@@ -34,6 +34,8 @@
   protocol_error: 'closed',
   heartbeat_timeout: 'unresponsive',
   hello_timeout: 'unresponsive',
+  flooded: 'unresponsive',
+  unread: 'unresponsive',
 };
 
 /**
