fix: a frame with more items than any honest one has is refused before it is decoded

Ordinary callers of a gateway were late, or got no answer, while a peer sent frames of 2 MB with many small items.

Cause: the limit of a frame counts bytes. 2,000,000 empty texts take 105 to 150 ms to decode and 150,000 keys 320 to 370 ms, in one turn of the event loop.

--- a/src/connection/frameCodec.ts
+++ b/src/connection/frameCodec.ts
@@ -2,11 +2,16 @@
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
 import { BodyBuffer } from './bodyBuffer.js';
+import { hasMoreItems } from './countItems.js';
 import { hotPathValidators } from '../protocol/hotPathValidators.js';
 import type { Message, MessageType } from '../protocol/messages.js';
 import { messageRegistry } from '../protocol/messages.js';
 
 const HEADER_BYTES = 4;
+/** A list of 10,000 upstreams, all of them cold, has 240,000; 2,000,000 in one frame took more than 100 ms. */
+const MAX_FRAME_ITEMS = 250_000;
+/** Counts have a key for each upstream; 150,000 in one frame took more than 300 ms. */
+const MAX_MAP_KEYS = 20_000;
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
 
@@ -37,6 +42,12 @@
  * @returns The message, or why it was rejected
  */
 export function decodeBody(body: Uint8Array): Result<Message, FrameError> {
+  if (hasMoreItems(body, MAX_FRAME_ITEMS, MAX_MAP_KEYS)) {
+    return Err({
+      code: 'frame_malformed',
+      message: `frame has more than ${MAX_FRAME_ITEMS} items, or a map too many keys`,
+    });
+  }
   let value: unknown;
   try {
     value = decoder.decode(body);
