fix: a gateway keeps a bounded number of addresses of other gateways

A gateway ended, out of memory, while a peer named further gateways without end.

Cause: each address in a gatewayCounts frame was kept and got a loop that opens links to it; 39 MB of frames took 232 MB.

1,000 addresses are kept; there are far fewer gateways.

--- a/src/process/gateway/gatewayPeers.ts
+++ b/src/process/gateway/gatewayPeers.ts
@@ -24,6 +24,8 @@
 const MAX_READ_SHARE = 0.2;
 /** Several of the largest replies. */
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
+/** Addresses of other gateways that are kept; there are far fewer gateways. */
+const MAX_KNOWN_ADDRESSES = 1_000;
 const linkBounds = { maxReadShare: MAX_READ_SHARE, maxUnsentBytes: MAX_UNSENT_BYTES } as const;
 
 export interface GatewayPeersOptions {
@@ -229,7 +231,7 @@
   private connect(address: string): void {
     const { options } = this;
     if (this.knownAddresses.has(address) || address === options.address) return;
-    if (!isAddress(address)) return;
+    if (!isAddress(address) || this.knownAddresses.size >= MAX_KNOWN_ADDRESSES) return;
     this.knownAddresses.add(address);
     this.lastSeenAt.set(address, options.readClock());
     if (address < options.address && !options.seeds.includes(address)) return;
