fix: queries of another gateway are answered 50 times a second at most

Ordinary callers of a gateway were refused or late while a peer sent queries without end.

The first 50 queries of a link in a second are answered.

--- a/src/process/gateway/gatewayPeers.ts
+++ b/src/process/gateway/gatewayPeers.ts
@@ -26,6 +26,9 @@
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
 /** Addresses of other gateways that are kept; there are far fewer gateways. */
 const MAX_KNOWN_ADDRESSES = 1_000;
+/** Queries of one gateway that are answered in a second; it sends a few, and a reply costs far more than a query. */
+const MAX_QUERIES = 50;
+const QUERY_WINDOW_MS = 1_000;
 const linkBounds = { maxReadShare: MAX_READ_SHARE, maxUnsentBytes: MAX_UNSENT_BYTES } as const;
 
 export interface GatewayPeersOptions {
@@ -73,6 +76,7 @@
   /** When a link to each known address was last open, or when the address was learned. */
   private readonly lastSeenAt = new Map<string, number>();
   private readonly queries: PeerQueries;
+  private readonly answered = new WeakMap<PeerLink, { startedAt: number; queries: number }>();
   private lastSentCounts = '';
   private lastSentAt = -Infinity;
   private addressesSentAt = -Infinity;
@@ -198,12 +202,24 @@
     }
   }
 
+  /** Whether a query is answered; the others time out at the peer. */
+  private admitQuery(link: PeerLink, now: number): boolean {
+    const window = this.answered.get(link);
+    if (window === undefined || now - window.startedAt >= QUERY_WINDOW_MS) {
+      this.answered.set(link, { startedAt: now, queries: 1 });
+      return true;
+    }
+    window.queries += 1;
+    return window.queries <= MAX_QUERIES;
+  }
+
   private createHandlers(): MessageHandlers {
     let handlers: MessageHandlers = {
       knowledgeHint: () => {
         this.options.onHint();
       },
       knowledgeAsk: ({ call, version, configurationOnly, listing }, link) => {
+        if (!this.admitQuery(link, this.options.readClock())) return;
         const snapshot = this.options.createSnapshot(version, configurationOnly === true, listing);
         link.send({ type: 'knowledgeReply', call, ...snapshot });
       },
