--- a/src/process/gateway/gatewayPeers.ts
+++ b/src/process/gateway/gatewayPeers.ts
@@ -20,6 +20,17 @@
 const COUNT_REFRESH_INTERVAL_MS = 1_000;
 /** A gateway without a link is counted as running for this long; a partition may last minutes. */
 const UNLINKED_TTL_MS = 600_000;
+/** A gateway sends about 400 frames a second; decoding them takes about 2 ms. */
+const MAX_READ_SHARE = 0.2;
+/** Several of the largest replies. */
+const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
+/** Addresses of other gateways that are kept; there are far fewer gateways. */
+const MAX_KNOWN_ADDRESSES = 1_000;
+/** Queries of one gateway that are answered in a second; it sends a few, and a reply costs far more than a query. */
+const MAX_QUERIES = 50;
+const QUERY_WINDOW_MS = 1_000;
+const linkBounds = { maxReadShare: MAX_READ_SHARE, maxUnsentBytes: MAX_UNSENT_BYTES } as const;
+
 export interface GatewayPeersOptions {
   /** Address on which this gateway accepts links, `ip:port`. */
   readonly address: string;
@@ -65,6 +76,7 @@
   /** When a link to each known address was last open, or when the address was learned. */
   private readonly lastSeenAt = new Map<string, number>();
   private readonly queries: PeerQueries;
+  private readonly answered = new WeakMap<PeerLink, { startedAt: number; queries: number }>();
   private lastSentCounts = '';
   private lastSentAt = -Infinity;
   private addressesSentAt = -Infinity;
@@ -76,6 +88,7 @@
       host,
       port: Number(port),
       self: options.self,
+      ...linkBounds,
       handlers: this.createHandlers(),
       onLink: (link) => {
         this.addLink(link);
@@ -189,12 +202,24 @@
     }
   }
 
+  /** Whether a query is answered; the others time out at the peer. */
+  private admitQuery(link: PeerLink, now: number): boolean {
+    const window = this.answered.get(link);
+    if (window === undefined || now - window.startedAt >= QUERY_WINDOW_MS) {
+      this.answered.set(link, { startedAt: now, queries: 1 });
+      return true;
+    }
+    window.queries += 1;
+    return window.queries <= MAX_QUERIES;
+  }
+
   private createHandlers(): MessageHandlers {
     let handlers: MessageHandlers = {
       knowledgeHint: () => {
         this.options.onHint();
       },
       knowledgeAsk: ({ call, version, configurationOnly, listing }, link) => {
+        if (!this.admitQuery(link, this.options.readClock())) return;
         const snapshot = this.options.createSnapshot(version, configurationOnly === true, listing);
         link.send({ type: 'knowledgeReply', call, ...snapshot });
       },
@@ -222,13 +247,14 @@
   private connect(address: string): void {
     const { options } = this;
     if (this.knownAddresses.has(address) || address === options.address) return;
-    if (!isAddress(address)) return;
+    if (!isAddress(address) || this.knownAddresses.size >= MAX_KNOWN_ADDRESSES) return;
     this.knownAddresses.add(address);
     this.lastSeenAt.set(address, options.readClock());
     if (address < options.address && !options.seeds.includes(address)) return;
     void maintainLink({
       address,
       self: options.self,
+      ...linkBounds,
       handlers: this.createHandlers(),
       signal: options.signal,
       onLink: (link) => {
--- a/test/support/endlessCrowd.ts
+++ b/test/support/endlessCrowd.ts
@@ -1,8 +1,10 @@
+import type { ChildProcess } from 'node:child_process';
 import { fork } from 'node:child_process';
 import { finished } from 'node:stream/promises';
 import { Client } from 'undici';
 import type { EndlessPart } from '../standins/endlessWorker.js';
 import type { RawWorker } from '../standins/rawWorker.js';
+import type { LinkFlood } from '../standins/floodingPeer.js';
 import { startRawWorker } from '../standins/rawWorker.js';
 import { buildProgram } from './compiledPrograms.js';
 import { HEAP_MB, MAX_MEMORY_BYTES } from './crowdRun.js';
@@ -41,6 +43,8 @@
   readonly durationMs: number;
   /** Whether the gateway is stopped in half of the time, while all callers go on until it is gone. */
   readonly isStopped?: boolean;
+  /** Links of other processes that send frames without end. */
+  readonly flood?: { readonly kind: LinkFlood; readonly links: number };
 }
 
 /** What a load has led to. */
@@ -103,7 +107,13 @@
   });
   try {
     await waitUntilProgramReady(gateway);
-    return await callBoth(load, gateway, host, sound);
+    if (load.flood === undefined) return await callBoth(load, gateway, host, sound);
+    const peers = await startFloodHost(gateway.linksPort, load.flood);
+    try {
+      return await callBoth(load, gateway, peers, sound);
+    } finally {
+      peers.close();
+    }
   } finally {
     gateway.child.kill('SIGKILL');
     await gateway.ended;
@@ -170,7 +180,7 @@
 async function callBoth(
   load: EndlessLoad,
   gateway: GatewayProgram,
-  host: EndlessHost,
+  host: SendingHost,
   sound: RawWorker,
 ): Promise<EndlessOutcome> {
   let exit: EndlessOutcome['exit'];
@@ -294,12 +304,16 @@
   }
 }
 
-interface EndlessHost {
-  readonly workers: readonly PublishedWorker[];
+/** A process of stand-ins that send without end. */
+interface SendingHost {
   readSentBytes(): Promise<number>;
   close(): void;
 }
 
+interface EndlessHost extends SendingHost {
+  readonly workers: readonly PublishedWorker[];
+}
+
 async function startEndlessHost(parts: readonly EndlessPart[]): Promise<EndlessHost> {
   const program = await buildProgram(rootDirectory, 'test/support/endlessHost.ts');
   const child = fork(program, parts, {
@@ -313,8 +327,24 @@
   });
   await waitUntil('endless workers started', () => output.includes('\n'));
   const { workers } = JSON.parse(output) as { workers: PublishedWorker[] };
+  return { workers, ...createSendingHost(child) };
+}
+
+async function startFloodHost(
+  port: number,
+  { kind, links }: NonNullable<EndlessLoad['flood']>,
+): Promise<SendingHost> {
+  const program = await buildProgram(rootDirectory, 'test/support/floodHost.ts');
+  const child = fork(program, [String(port), String(links), kind], {
+    cwd: rootDirectory,
+    stdio: ['ignore', 'inherit', 'inherit', 'ipc'],
+    execArgv: [],
+  });
+  return createSendingHost(child);
+}
+
+function createSendingHost(child: ChildProcess): SendingHost {
   return {
-    workers,
     readSentBytes: () =>
       new Promise((resolve) => {
         child.once('message', (bytes) => {
