fix: TLS handshakes at operator ports and at the port for links are limited

A crowd that connects and never completes a TLS handshake held as many connections as it opened, each for the 120 s of Node; the limit of 64 counts links after the handshake. At the port for links Node then reports the timeout and leaves the connection open, as nobody closed it: with the limit on their number alone, 64 were still open 5 s after a time limit of 5 s.

Both servers now count connections until their handshake is complete, 64 of them, and close the oldest beyond that; a handshake has 5 s, and the connection of one that fails is closed.

--- a/src/connection/linkServer.ts
+++ b/src/connection/linkServer.ts
@@ -4,6 +4,7 @@
 import type { HandshakeError } from './handshake.js';
 import { performHandshake } from './handshake.js';
 import type { Hello, PeerLink, PeerLinkOptions } from './peerLink.js';
+import { HANDSHAKE_TIMEOUT_MS, limitHandshakes } from './pendingHandshakes.js';
 import type { TlsMaterial } from './tlsOptions.js';
 
 /** Connections that have not said hello; beyond them the oldest is closed. */
@@ -32,7 +33,7 @@
     this.server =
       options.tls === undefined
         ? createServer({ noDelay: true }, accept)
-        : createTlsServer({ ...options.tls, requestCert: true, rejectUnauthorized: true }, accept);
+        : createLinkTlsServer(options.tls, accept);
     this.server.on('tlsClientError', (error: Error) => {
       options.onRefused?.({ code: 'protocol_error', message: error.message });
     });
@@ -78,3 +79,10 @@
     this.options.onLink(link);
   }
 }
+
+function createLinkTlsServer(tls: TlsMaterial, accept: (socket: Socket) => void): Server {
+  const options = { ...tls, requestCert: true, rejectUnauthorized: true };
+  const server = createTlsServer({ ...options, handshakeTimeout: HANDSHAKE_TIMEOUT_MS }, accept);
+  limitHandshakes(server);
+  return server;
+}
--- a/src/process/operatorServer.ts
+++ b/src/process/operatorServer.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import polka from 'polka';
 import { createControlServer } from './controlServer.js';
+import { HANDSHAKE_TIMEOUT_MS, limitHandshakes } from '../connection/pendingHandshakes.js';
 import type { TlsMaterial } from '../connection/tlsOptions.js';
 
 /** Handlers that return JSON response bodies, by path. */
@@ -26,9 +27,7 @@
   routes: OperatorRoutes;
 }): Promise<OperatorServer> {
   const server: Server =
-    options.tls === undefined
-      ? createControlServer()
-      : createTlsServer({ ...options.tls, requestCert: true, rejectUnauthorized: true });
+    options.tls === undefined ? createControlServer() : createOperatorTlsServer(options.tls);
   const app = polka({ server });
   for (const [path, answer] of Object.entries(options.routes)) {
     app.get(path, (request, response) => {
@@ -51,3 +50,10 @@
     },
   };
 }
+
+function createOperatorTlsServer(tls: TlsMaterial): Server {
+  const options = { ...tls, requestCert: true, rejectUnauthorized: true };
+  const server = createTlsServer({ ...options, handshakeTimeout: HANDSHAKE_TIMEOUT_MS });
+  limitHandshakes(server);
+  return server;
+}
