fix: the agent's client of an engine reads streams, probes and loads within bounds

A chat whose engine sent a chunk extension without end read 1.2 GB (8 chats) until the caller's time ended, and left 8 connections open after informational heads; probes and loads of the engine read up to 870 MB and delayed the agent's event loop by up to 0.7 s.

Cause: nothing bounded framing, and each small part of a line had the whole line searched again. Streams are now handed part by part to a line splitter, on a BoundedConnection that closes itself.

--- a/src/process/agent/upstreams/engine.ts
+++ b/src/process/agent/upstreams/engine.ts
@@ -1,10 +1,10 @@
-import type { Dispatcher } from 'undici';
-import { Agent, request } from 'undici';
 import { z } from 'zod';
-import { readBoundedText } from '../../../connection/readBounded.js';
+import { BoundedClient } from '../../../connection/boundedClient.js';
+import type { BoundedRequest, BoundedResponse } from '../../../connection/boundedConnection.js';
+import { LineSplitter, LineTooLongError } from '../../../connection/lineSplitter.js';
 import { defaults } from '../../../defaults.js';
 import { createFailedResult } from './failure.js';
-import { DeadlineExceededError, guardExpiry } from './guardExpiry.js';
+import { DeadlineExceededError } from './deadlineExceeded.js';
 import type { Exchange, ExchangeResult, UpstreamAdapter, UpstreamLoad } from './types.js';
 
 /** Chat request body: OpenAI messages, or a plain prompt. */
@@ -23,6 +23,15 @@
 const REFUSED_STATUS = 503;
 /** Load counters, or the response to a probe of one token. */
 const MAX_PROBE_BYTES = 64 * 1024;
+/** As much as a gateway accepts of a response. */
+const MAX_STREAM_BYTES = defaults.maxResponseBodyBytes;
+const CANCEL_TIMEOUT_MS = 1_000;
+const INCOMPLETE_MESSAGE = 'stream ended without an end marker';
+
+type PostLimits = Pick<
+  BoundedRequest,
+  'maxBytes' | 'timeoutMs' | 'signal' | 'confirmSend' | 'onData'
+>;
 
 /**
  * Parses the prompt of a chat body. The same body always yields the same prompt.
@@ -55,27 +64,19 @@
  * @returns The adapter
  */
 export function createEngineAdapter(url: string): UpstreamAdapter {
-  const dispatcher = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
-  const post = (
-    path: string,
-    body: unknown,
-    signal: AbortSignal,
-    requestDispatcher: Dispatcher = dispatcher,
-  ) =>
-    request(`${url}${path}`, {
+  const client = new BoundedClient();
+  const post = (path: string, body: unknown, limits: PostLimits): Promise<BoundedResponse> =>
+    client.send(`${url}${path}`, {
       method: 'POST',
-      // A repeated or late answer on a kept connection would count as the answer to the next request.
-      reset: true,
-      dispatcher: requestDispatcher,
-      signal,
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(body),
+      ...limits,
     });
 
   const cancel = async (id: string): Promise<void> => {
     try {
-      const answer = await post('/v1/cancel', { request_id: id }, AbortSignal.timeout(1_000));
-      await answer.body.dump();
+      const limits = { maxBytes: MAX_PROBE_BYTES, timeoutMs: CANCEL_TIMEOUT_MS };
+      await post('/v1/cancel', { request_id: id }, limits);
     } catch {
       // Ignored: the engine also detects the closed connection.
     }
@@ -95,22 +96,26 @@
       resume_after: resumeAfter,
       resume_text: resumeText,
     };
+    const stream = new TokenStream(exchange);
     try {
       const { isExpired } = exchange;
-      const requestDispatcher =
-        isExpired === undefined ? dispatcher : guardExpiry(dispatcher, isExpired);
-      const answer = await post('/v1/generate', message, signal, requestDispatcher);
-      if (answer.statusCode === REFUSED_STATUS) {
-        await answer.body.dump();
+      const { status } = await post('/v1/generate', message, {
+        maxBytes: MAX_STREAM_BYTES,
+        signal,
+        confirmSend: () => (isExpired?.() === true ? new DeadlineExceededError() : undefined),
+        onData: (data) => {
+          stream.add(data);
+        },
+      });
+      if (status === REFUSED_STATUS) {
         return fail('upstream_refused', 'engine refused the request', false);
       }
-      if (answer.statusCode !== 200) {
-        await answer.body.dump();
-        return fail('upstream_failed', `engine responded with status ${answer.statusCode}`, true);
+      if (status !== 200) {
+        return fail('upstream_failed', `engine responded with status ${status}`, true);
       }
-      const end = await readStream(answer.body, resumeAfter, exchange);
-      return end ?? fail('upstream_failed', 'stream ended without an end marker', true);
+      return fail('upstream_failed', INCOMPLETE_MESSAGE, true);
     } catch (error) {
+      if (error instanceof StreamEnd) return error.result;
       if (error instanceof DeadlineExceededError) return fail('timeout', error.message, false);
       if (signal.aborted) void cancel(id);
       return createFailedResult(error, signal.aborted);
@@ -119,9 +124,12 @@
 
   const readLoad = async (timeoutMs: number): Promise<UpstreamLoad | undefined> => {
     try {
-      const signal = AbortSignal.timeout(timeoutMs);
-      const answer = await request(`${url}/v1/load`, { reset: true, dispatcher, signal });
-      return loadSchema.parse(JSON.parse(await readBoundedText(answer.body, MAX_PROBE_BYTES)));
+      const { body } = await client.send(`${url}/v1/load`, {
+        method: 'GET',
+        maxBytes: MAX_PROBE_BYTES,
+        timeoutMs,
+      });
+      return loadSchema.parse(JSON.parse(body.toString('utf8')));
     } catch {
       return undefined;
     }
@@ -131,18 +139,20 @@
     const id = `probe-${Math.random().toString(36).slice(2)}`;
     const body = { request_id: id, prompt: 'probe', max_tokens: 1, priority: 1 };
     const probeRequest = { ...body, resume_after: 0, resume_text: '' };
-    const signal = AbortSignal.timeout(timeoutMs);
     try {
-      const answer = await post('/v1/generate', probeRequest, signal);
-      const text = await readBoundedText(answer.body, MAX_PROBE_BYTES);
-      return answer.statusCode === 200 && hasEndLine(text);
+      const limits = { maxBytes: MAX_PROBE_BYTES, timeoutMs };
+      const { status, body } = await post('/v1/generate', probeRequest, limits);
+      return status === 200 && hasEndLine(body.toString('utf8'));
     } catch {
       void cancel(id);
       return false;
     }
   };
 
-  const close = (): Promise<void> => dispatcher.destroy();
+  const close = (): Promise<void> => {
+    client.close();
+    return Promise.resolve();
+  };
   return { preemptible: true, run, readLoad, prove, close };
 }
 
@@ -154,39 +164,65 @@
   return { kind: 'failed', code, message, started, possibleCrash: false, unreachable: false };
 }
 
-/** Forwards tokens in order, batched by read. Returns undefined for a malformed or incomplete stream. */
-async function readStream(
-  body: AsyncIterable<Buffer>,
-  resumeAfter: number,
-  exchange: Exchange,
-): Promise<ExchangeResult | undefined> {
-  const decoder = new TextDecoder();
-  let partialLine = '';
-  let expectedIndex = resumeAfter;
-  const endIndex = resumeAfter + exchange.maxOutputTokens;
-  for await (const data of body) {
-    const lines = (partialLine + decoder.decode(data, { stream: true })).split('\n');
-    partialLine = lines.pop() ?? '';
-    if (partialLine.length > defaults.maxEventBytes) return undefined;
+/** Ends the exchange of a stream, at its end marker or at the first line that is none of it. */
+class StreamEnd extends Error {
+  constructor(readonly result: ExchangeResult) {
+    super('stream ended');
+  }
+}
+
+/** Forwards tokens in order, batched by read. */
+class TokenStream {
+  private readonly splitter = new LineSplitter(defaults.maxEventBytes);
+  private expectedIndex: number;
+  private readonly endIndex: number;
+
+  constructor(private readonly exchange: Exchange) {
+    this.expectedIndex = exchange.resumeAfter;
+    this.endIndex = exchange.resumeAfter + exchange.maxOutputTokens;
+  }
+
+  /**
+   * Reads the next part of the stream.
+   *
+   * @param data - Part of the body
+   * @throws StreamEnd at the end of the stream
+   */
+  add(data: Buffer): void {
+    const { exchange } = this;
     const tokens: string[] = [];
-    let end: ExchangeResult | undefined;
-    for (const text of lines) {
-      const line = parseLine(text);
-      if (line === undefined) return undefined;
-      if ('done' in line) {
-        const usageFields = { finishReason: line.finish_reason, promptTokens: line.prompt_tokens };
-        end = { kind: 'done', status: 200, body: new Uint8Array(0), ...usageFields };
-        break;
+    const end = this.readLines(data, tokens);
+    // What is read together with a malformed line is not forwarded.
+    const isMalformed = end?.kind === 'failed';
+    if (tokens.length > 0 && !isMalformed && !exchange.signal.aborted) exchange.onTokens(tokens);
+    if (end !== undefined) throw new StreamEnd(end);
+  }
+
+  private readLines(data: Buffer, tokens: string[]): ExchangeResult | undefined {
+    try {
+      for (const text of this.splitter.readLines(data)) {
+        const line = parseLine(text);
+        if (line === undefined) return createIncomplete();
+        if ('done' in line) {
+          const { finish_reason: finishReason, prompt_tokens: promptTokens } = line;
+          return { kind: 'done', status: 200, body: new Uint8Array(0), finishReason, promptTokens };
+        }
+        // A gap in the indices would corrupt the text, and a stream beyond its limit may never end.
+        if (line.index !== this.expectedIndex || line.index >= this.endIndex)
+          return createIncomplete();
+        this.expectedIndex += 1;
+        tokens.push(line.token);
       }
-      // A gap in the indices would corrupt the text, and a stream beyond its limit may never end.
-      if (line.index !== expectedIndex || line.index >= endIndex) return undefined;
-      expectedIndex += 1;
-      tokens.push(line.token);
+    } catch (error) {
+      if (error instanceof LineTooLongError) return createIncomplete();
+      throw error;
     }
-    if (tokens.length > 0 && !exchange.signal.aborted) exchange.onTokens(tokens);
-    if (end !== undefined) return end;
+    return undefined;
   }
-  return undefined;
+}
+
+function createIncomplete(): ExchangeResult {
+  return fail('upstream_failed', INCOMPLETE_MESSAGE, true);
 }
 
 /** Whether a stream of tokens has its last line; an engine that dies within it has not proved anything. */
