fix: the time limit of a call to the engine of a rank group is that of the whole call

The state of a rank group took 3.1 s with chunks of one byte, at a limit of 1 s, and did not return at all within 9 s with informational heads.

Cause: the limits were those of one read. Calls now use BoundedClient with a total limit that begins when the call is sent. Commands and state still go one at a time, in their order.

--- a/src/process/group/engineClient.ts
+++ b/src/process/group/engineClient.ts
@@ -1,6 +1,6 @@
-import { Agent, request } from 'undici';
 import { z } from 'zod';
-import { readBoundedText } from '../../connection/readBounded.js';
+import { BoundedClient } from '../../connection/boundedClient.js';
+import { CallQueue } from '../../connection/callQueue.js';
 import { defaults } from '../../defaults.js';
 import type { FencingToken, EngineCommands } from '../../version/expertMap/types.js';
 import type { GroupLoad } from '../../version/placement/types.js';
@@ -16,6 +16,9 @@
 const REQUEST_TIMEOUT_MS = 1_000;
 /** Loads of many experts queue at the rate-limited weight store. */
 const LOAD_EXPERTS_TIMEOUT_MS = 600_000;
+/** Only the status of a response to a command counts. */
+const MAX_COMMAND_RESPONSE_BYTES = 64 * 1024;
+const HTTP_OK = 200;
 const CONFLICT_STATUS = 409;
 /** Version that no map has. */
 const NO_MAP_VERSION = 0;
@@ -30,12 +33,12 @@
   /** State read after the last command; undefined until that read completes. */
   private state: EngineMap | undefined;
   /**
-   * One connection at a time without pipelining, so that the engine handles calls in order. No connection is used again:
-   * a repeated or late answer would count as the answer to the next call.
+   * One call at a time, so that the engine handles them in order; not for loading, which takes long, needs no order and must
+   * not delay commands.
    */
-  private readonly commandDispatcher = new Agent({ connections: 1, pipelining: 1 });
-  /** Separate connections for loading, which takes long, needs no order and must not delay commands. */
-  private readonly bulkDispatcher = new Agent();
+  private readonly commands = new CallQueue(1);
+  private readonly client = new BoundedClient();
+  private isClosed = false;
   private commandCount = 0;
   private isReading = false;
   private refused = false;
@@ -57,7 +60,7 @@
     this.state = undefined;
     this.incarnation = token.incarnation;
     this.commandCount += 1;
-    void this.post(this.commandDispatcher, { command: 'set_map', version, step, ...token });
+    void this.postInOrder({ command: 'set_map', version, step, ...token });
     void this.readState();
     return true;
   }
@@ -76,7 +79,7 @@
    * @param token - Fencing token of the command
    */
   permitSteps(until: number, token: FencingToken): void {
-    void this.post(this.commandDispatcher, { command: 'permit_steps', until, ...token });
+    void this.postInOrder({ command: 'permit_steps', until, ...token });
   }
 
   /**
@@ -93,7 +96,7 @@
     token: FencingToken,
   ): Promise<boolean> {
     const body = { command: 'load_experts', version, experts, ...token };
-    return this.post(this.bulkDispatcher, body, LOAD_EXPERTS_TIMEOUT_MS);
+    return this.post(body, LOAD_EXPERTS_TIMEOUT_MS, () => undefined);
   }
 
   /** Reads the engine's map and step, after all commands sent before. */
@@ -101,14 +104,14 @@
     if (this.isReading) return;
     this.isReading = true;
     const before = this.commandCount;
-    const read = await this.fetch(this.commandDispatcher, '/v1/map', mapSchema);
+    const read = await this.commands.run(() => this.fetch('/v1/map', mapSchema));
     this.isReading = false;
     this.state = before === this.commandCount ? read : undefined;
   }
 
   /** Reads the load by layer and expert; undefined when the engine does not respond. */
   async readExpertLoad(): Promise<GroupLoad | undefined> {
-    return (await this.fetch(this.bulkDispatcher, '/v1/expert-load', loadSchema))?.load;
+    return (await this.fetch('/v1/expert-load', loadSchema))?.load;
   }
 
   /** Clears the state and a refusal, for a new participant with a higher fencing token. */
@@ -118,52 +121,53 @@
     this.incarnation = 0;
   }
 
-  async close(): Promise<void> {
-    await Promise.all([this.commandDispatcher.destroy(), this.bulkDispatcher.destroy()]);
+  close(): Promise<void> {
+    this.isClosed = true;
+    this.client.close();
+    return Promise.resolve();
+  }
+
+  private postInOrder(command: Readonly<Record<string, unknown>>): Promise<boolean> {
+    return this.commands.run(() =>
+      this.post(command, REQUEST_TIMEOUT_MS, () => {
+        this.refused = true;
+      }),
+    );
   }
 
   private async post(
-    dispatcher: Agent,
     command: Readonly<Record<string, unknown>>,
-    timeoutMs = REQUEST_TIMEOUT_MS,
+    timeoutMs: number,
+    onConflict: () => void,
   ): Promise<boolean> {
+    if (this.isClosed) return false;
     try {
-      const { statusCode, body } = await request(`${this.url}/v1/commands`, {
+      const { status } = await this.client.send(`${this.url}/v1/commands`, {
         method: 'POST',
-        reset: true,
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify(command),
-        dispatcher,
-        headersTimeout: timeoutMs,
-        bodyTimeout: timeoutMs,
+        maxBytes: MAX_COMMAND_RESPONSE_BYTES,
+        timeoutMs,
       });
-      await body.dump();
-      if (statusCode === CONFLICT_STATUS && dispatcher === this.commandDispatcher)
-        this.refused = true;
-      if (statusCode === 200) return true;
-      this.lastFailure = `${String(command.command)}: status ${statusCode}`;
+      if (status === CONFLICT_STATUS) onConflict();
+      if (status === HTTP_OK) return true;
+      this.lastFailure = `${String(command.command)}: status ${status}`;
     } catch (error) {
       this.lastFailure = `${String(command.command)}: ${String(error)}`;
     }
     return false;
   }
 
-  private async fetch<Value>(
-    dispatcher: Agent,
-    path: string,
-    schema: z.ZodType<Value>,
-  ): Promise<Value | undefined> {
+  private async fetch<Value>(path: string, schema: z.ZodType<Value>): Promise<Value | undefined> {
+    if (this.isClosed) return undefined;
     try {
-      const { statusCode, body } = await request(`${this.url}${path}`, {
-        reset: true,
-        dispatcher,
-        headersTimeout: REQUEST_TIMEOUT_MS,
-        bodyTimeout: REQUEST_TIMEOUT_MS,
+      const { status, body } = await this.client.send(`${this.url}${path}`, {
+        method: 'GET',
+        maxBytes: defaults.maxEngineReportBytes,
+        timeoutMs: REQUEST_TIMEOUT_MS,
       });
-      const value = schema.safeParse(
-        JSON.parse(await readBoundedText(body, defaults.maxEngineReportBytes)),
-      );
-      return statusCode === 200 && value.success ? value.data : undefined;
+      const value = schema.safeParse(JSON.parse(body.toString('utf8')));
+      return status === HTTP_OK && value.success ? value.data : undefined;
     } catch {
       return undefined;
     }
