--- a/src/process/membership/platformClient.ts
+++ b/src/process/membership/platformClient.ts
@@ -1,7 +1,9 @@
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
-import { Agent, request } from 'undici';
+import { errors } from 'undici';
 import { z } from 'zod';
+import { BoundedClient } from '../../connection/boundedClient.js';
+import { CallQueue } from '../../connection/callQueue.js';
 import { isFramed } from '../../connection/responseFraming.js';
 import { MAX_VALUE_BYTES } from '../../version/configuration/checkObject.js';
 import type { ListedHost } from './types.js';
@@ -9,6 +11,7 @@
 const WATCH_TIMEOUT_MARGIN_MS = 1_000;
 const MAX_LIST_BYTES = 8 * 1024 * 1024;
 const MAX_CONNECTIONS = 8;
+const HTTP_OK = 200;
 
 const keyListSchema = z.object({
   revision: z.number().int().nonnegative(),
@@ -36,7 +39,8 @@
 /** Client of the platform's configuration service; counts all calls. */
 export class PlatformClient {
   readonly calls = { list: 0, values: 0, watch: 0, hosts: 0, failed: 0 };
-  private readonly dispatcher = new Agent({ connections: MAX_CONNECTIONS });
+  private readonly client = new BoundedClient();
+  private readonly queue = new CallQueue(MAX_CONNECTIONS);
 
   constructor(
     private readonly baseUrl: string,
@@ -117,7 +121,7 @@
 
   /** Closes all connections. */
   close(): void {
-    void this.dispatcher.destroy();
+    this.client.close();
   }
 
   private async fetchText(
@@ -134,30 +138,21 @@
     if (limits.signal?.aborted === true) abort();
     limits.signal?.addEventListener('abort', abort);
     try {
-      const response = await request(`${this.baseUrl}${path}`, {
-        // A repeated or late answer on a kept connection would count as the answer to the next call.
-        reset: true,
-        signal: controller.signal,
-        dispatcher: this.dispatcher,
-      });
-      if (response.statusCode !== 200) {
-        await response.body.dump();
-        return this.fail('status', `unexpected status ${response.statusCode} for ${path}`);
-      }
-      const parts: Buffer[] = [];
-      let size = 0;
-      for await (const part of response.body) {
-        size += (part as Buffer).length;
-        if (size > maxBytes)
-          return this.fail('too_large', `response exceeds ${maxBytes} bytes: ${path}`);
-        parts.push(part as Buffer);
-      }
-      const text = Buffer.concat(parts).toString('utf8');
+      const { signal } = controller;
+      const response = await this.queue.run(
+        () => this.client.send(`${this.baseUrl}${path}`, { method: 'GET', maxBytes, signal }),
+        signal,
+      );
+      if (response.status !== HTTP_OK)
+        return this.fail('status', `unexpected status ${response.status} for ${path}`);
+      const text = response.body.toString('utf8');
       // A value that was read and refused is not read again, so one that may be cut has not been read.
       if (!isFramed(response.headers) && !isJson(text))
         return this.fail('unreachable', `response without a length ended early: ${path}`);
       return Ok(text);
     } catch (error) {
+      if (error instanceof errors.ResponseExceededMaxSizeError)
+        return this.fail('too_large', `response exceeds ${maxBytes} bytes: ${path}`);
       return this.fail('unreachable', String(error));
     } finally {
       clearTimeout(timer);
