fix: the client of callers and the command line read entries and operator ports within bounds

Calls through a faulty entry did not return 8 s after their limit of 1 s with small chunks or informational heads; the command line read without any bound, and was stuck with 12 of 19 endless parts. A caller took an unasked 206 as the answer.

Cause: the time limits were those of one read, and bodies were kept or dropped read by read. Both now use BoundedClient: a call ends in total at its time limit; a streamed chat also ends after 32 MB, or 0.25 s after its deadline. A dump of an operator port may have 32 MB.

openExchange is replaced by sendStreamExchange, which hands the body on part by part; two specs that used it or passed an undici agent now pass a BoundedClient, with the same expectations.

--- a/src/cli/operatorClient.ts
+++ b/src/cli/operatorClient.ts
@@ -1,8 +1,9 @@
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
-import { Agent, request } from 'undici';
 import type { Argv } from 'yargs';
+import { BoundedClient } from '../connection/boundedClient.js';
 import { readTlsMaterial } from '../connection/tlsOptions.js';
+import { defaults } from '../defaults.js';
 import { readStringArgument } from './arguments.js';
 import type { CliArguments } from './types.js';
 
@@ -24,7 +25,7 @@
 
 interface OperatorTarget {
   readonly url: string;
-  readonly dispatcher: Agent;
+  readonly client: BoundedClient;
 }
 
 /**
@@ -42,22 +43,20 @@
 ): Promise<Result<unknown, string>> {
   const target = openTarget(args, address);
   if (target.isErr()) return target;
-  const { url, dispatcher } = target.value;
+  const { url, client } = target.value;
   try {
-    const response = await request(url + path, {
-      dispatcher,
-      headersTimeout: REQUEST_TIMEOUT_MS,
-      bodyTimeout: REQUEST_TIMEOUT_MS,
+    const response = await client.send(url + path, {
+      method: 'GET',
+      maxBytes: defaults.maxResponseBodyBytes,
+      timeoutMs: REQUEST_TIMEOUT_MS,
     });
-    const text = await response.body.text();
-    if (response.statusCode !== HTTP_OK) {
-      return Err(`${address}${path}: HTTP ${response.statusCode} ${text}`);
+    const text = new TextDecoder().decode(response.body);
+    if (response.status !== HTTP_OK) {
+      return Err(`${address}${path}: HTTP ${response.status} ${text}`);
     }
     return Ok(JSON.parse(text) as unknown);
   } catch (error) {
     return Err(`${address}${path}: ${formatError(error)}`);
-  } finally {
-    await dispatcher.destroy();
   }
 }
 
@@ -66,14 +65,14 @@
   const key = readStringArgument(args, 'key');
   const ca = readStringArgument(args, 'ca');
   if (cert === undefined && key === undefined && ca === undefined) {
-    return Ok({ url: `http://${address}`, dispatcher: new Agent() });
+    return Ok({ url: `http://${address}`, client: new BoundedClient() });
   }
   if (cert === undefined || key === undefined || ca === undefined) {
     return Err('--cert, --key and --ca must be given together');
   }
   try {
-    const connect = readTlsMaterial({ cert, key, ca });
-    return Ok({ url: `https://${address}`, dispatcher: new Agent({ connect }) });
+    const tls = readTlsMaterial({ cert, key, ca });
+    return Ok({ url: `https://${address}`, client: new BoundedClient({ tls }) });
   } catch (error) {
     return Err(formatError(error));
   }
--- a/src/client/callerClient.ts
+++ b/src/client/callerClient.ts
@@ -1,11 +1,14 @@
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
-import { Agent } from 'undici';
-import { readBoundedText } from '../connection/readBounded.js';
-import { defaults } from '../defaults.js';
-import { parseChatAnswer, readChatStream } from './chatStream.js';
+import { BoundedClient } from '../connection/boundedClient.js';
+import { ChatStream, ChatStreamEnd, parseChatAnswer } from './chatStream.js';
 import type { ExchangeResponse, ExchangeRequest } from './entryExchange.js';
-import { createConnectionError, openExchange, parseError, sendExchange } from './entryExchange.js';
+import {
+  createConnectionError,
+  parseError,
+  sendExchange,
+  sendStreamExchange,
+} from './entryExchange.js';
 import type { OrderExchange } from './orderDelivery.js';
 import { deliveryLimits, settleOrder } from './orderDelivery.js';
 import { parseOutcome, parseSlots } from './orderWire.js';
@@ -33,7 +36,7 @@
  * Of the requests that execute work, only the PUT of an order is retried, always under the same id.
  */
 export class CallerClient {
-  private readonly pool = new Agent();
+  private readonly client = new BoundedClient();
   private readonly slots = new SlotStore();
   private readonly random: () => number;
   private nextEntry = 0;
@@ -75,19 +78,24 @@
   ): Promise<Result<ChatAnswer, CallerError>> {
     const body = JSON.stringify({ ...chat, stream: true });
     const exchange: Exchange = { method: 'POST', path: CHAT_PATH, body, deadlineMs };
+    const stream = new ChatStream(onText);
+    const head = { status: 0 };
     try {
-      const response = await openExchange(this.assignEntry(exchange));
-      if (response.statusCode !== HTTP_OK) {
-        return Err(
-          parseError(
-            response.statusCode,
-            await readBoundedText(response.body, defaults.maxResponseBodyBytes),
-          ),
-        );
-      }
-      return await readChatStream(response.body, onText);
+      const { status, body: errorBody } = await sendStreamExchange(
+        this.assignEntry(exchange),
+        (data) => {
+          stream.add(data);
+        },
+        (headStatus) => {
+          head.status = headStatus;
+        },
+      );
+      if (status !== HTTP_OK) return Err(parseError(status, errorBody.toString('utf8')));
+      return stream.end('the stream ended without its end marker');
     } catch (error) {
-      return Err(createConnectionError(error));
+      if (error instanceof ChatStreamEnd) return error.answer;
+      const failure = createConnectionError(error);
+      return head.status === HTTP_OK ? stream.end(failure.message) : Err(failure);
     }
   }
 
@@ -221,8 +229,9 @@
   }
 
   /** Closes all connections. */
-  async close(): Promise<void> {
-    await this.pool.destroy();
+  close(): Promise<void> {
+    this.client.close();
+    return Promise.resolve();
   }
 
   private createOrderExchange(service: string, order: string, body: string): OrderExchange {
@@ -255,7 +264,7 @@
       ...exchange,
       url: entry + exchange.path,
       token,
-      dispatcher: this.pool,
+      client: this.client,
       answerTimeoutMs: this.options.answerTimeoutMs ?? DEFAULT_RESPONSE_TIMEOUT_MS,
     };
   }
--- a/src/client/chatStream.ts
+++ b/src/client/chatStream.ts
@@ -1,6 +1,7 @@
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
 import { z } from 'zod';
+import { LineSplitter, LineTooLongError } from '../connection/lineSplitter.js';
 import { defaults } from '../defaults.js';
 import { parseError, parseJson } from './entryExchange.js';
 import type { CallerError, ChatAnswer } from './types.js';
@@ -35,46 +36,62 @@
   return Ok({ text: choice.message.content, finishReason: choice.finish_reason ?? '' });
 }
 
-/**
- * Reads a streamed chat response. Only a stream with its end marker is complete.
- *
- * @param body - Server-sent events as bytes
- * @param onText - Called with each part of the text in order
- * @returns The complete response, or why it is incomplete
- */
-export async function readChatStream(
-  body: AsyncIterable<Uint8Array>,
-  onText: (text: string) => void,
-): Promise<Result<ChatAnswer, CallerError>> {
-  const decoder = new TextDecoder();
-  let pendingText = '';
-  let text = '';
-  let finishReason = '';
-  try {
-    for await (const bytes of body) {
-      pendingText += decoder.decode(bytes, { stream: true });
-      const lines = pendingText.split('\n');
-      pendingText = lines.pop() ?? '';
-      if (pendingText.length > defaults.maxEventBytes) {
-        return Err(createTruncatedError(`an event exceeds ${defaults.maxEventBytes} bytes`));
-      }
-      for (const line of lines) {
-        if (!line.startsWith(DATA_PREFIX)) continue;
-        const data = line.slice(DATA_PREFIX.length).trim();
-        if (data === END_MARKER) return Ok({ text, finishReason });
-        const value = parseJson(data);
-        const choice = chunkSchema.safeParse(value).data?.choices[0];
-        if (choice === undefined) return Err(parseError(HTTP_OK, data));
-        const part = choice.delta?.content ?? '';
-        if (part !== '') onText(part);
-        text += part;
-        finishReason = choice.finish_reason ?? finishReason;
-      }
+/** Ends the exchange of a stream, at its end marker or at the first event that is none of it. */
+export class ChatStreamEnd extends Error {
+  constructor(readonly answer: Result<ChatAnswer, CallerError>) {
+    super('stream ended');
+  }
+}
+
+/** Reads a streamed chat response. Only a stream with its end marker is complete. */
+export class ChatStream {
+  private readonly splitter = new LineSplitter(defaults.maxEventBytes);
+  private text = '';
+  private finishReason = '';
+
+  /** @param onText - Called with each part of the text in order */
+  constructor(private readonly onText: (text: string) => void) {}
+
+  /**
+   * Reads the next part of the stream.
+   *
+   * @param data - Server-sent events as bytes
+   * @throws ChatStreamEnd at the end of the stream
+   */
+  add(data: Buffer): void {
+    try {
+      for (const line of this.splitter.readLines(data)) this.addLine(line);
+    } catch (error) {
+      if (!(error instanceof LineTooLongError)) throw error;
+      const message = `an event exceeds ${defaults.maxEventBytes} bytes`;
+      throw new ChatStreamEnd(this.end(message));
+    }
+  }
+
+  /**
+   * Ends the stream before its end marker.
+   *
+   * @param message - Why it ended
+   * @returns The error
+   */
+  end(message: string): Result<ChatAnswer, CallerError> {
+    return Err(createTruncatedError(message));
+  }
+
+  private addLine(line: string): void {
+    if (!line.startsWith(DATA_PREFIX)) return;
+    const data = line.slice(DATA_PREFIX.length).trim();
+    if (data === END_MARKER) {
+      const { text, finishReason } = this;
+      throw new ChatStreamEnd(Ok({ text, finishReason }));
     }
-  } catch (error) {
-    return Err(createTruncatedError(error instanceof Error ? error.message : String(error)));
+    const choice = chunkSchema.safeParse(parseJson(data)).data?.choices[0];
+    if (choice === undefined) throw new ChatStreamEnd(Err(parseError(HTTP_OK, data)));
+    const part = choice.delta?.content ?? '';
+    if (part !== '') this.onText(part);
+    this.text += part;
+    this.finishReason = choice.finish_reason ?? this.finishReason;
   }
-  return Err(createTruncatedError('the stream ended without its end marker'));
 }
 
 function createTruncatedError(message: string): CallerError {
--- a/src/client/entryExchange.ts
+++ b/src/client/entryExchange.ts
@@ -1,14 +1,15 @@
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
-import type { Dispatcher } from 'undici';
-import { request } from 'undici';
 import { z } from 'zod';
-import { readBoundedText } from '../connection/readBounded.js';
+import type { BoundedClient } from '../connection/boundedClient.js';
+import type { BoundedRequest, BoundedResponse } from '../connection/boundedConnection.js';
 import { bodylessStatuses, isFramed } from '../connection/responseFraming.js';
 import { defaults } from '../defaults.js';
 import type { CallerError } from './types.js';
 
 const MIN_ERROR_STATUS = 400;
+/** An entry ends a stream at its deadline and says why. */
+const STREAM_END_MARGIN_MS = 250;
 
 const errorSchema = z.object({
   error: z.object({ code: z.string(), message: z.string(), retry_after_ms: z.number().optional() }),
@@ -23,7 +24,7 @@
   readonly body?: string | undefined;
   readonly deadlineMs?: number | undefined;
   readonly answerTimeoutMs: number;
-  readonly dispatcher: Dispatcher;
+  readonly client: BoundedClient;
 }
 
 export interface ExchangeResponse {
@@ -41,9 +42,9 @@
   exchange: ExchangeRequest,
 ): Promise<Result<ExchangeResponse, CallerError>> {
   try {
-    const response = await openExchange(exchange);
-    const text = await readBoundedText(response.body, defaults.maxResponseBodyBytes);
-    const { statusCode: status, headers } = response;
+    const limits = { timeoutMs: exchange.answerTimeoutMs };
+    const { status, headers, body } = await sendRequest(exchange, limits);
+    const text = body.toString('utf8');
     if (status >= MIN_ERROR_STATUS) return Err(parseError(status, text));
     // Entries state a length or chunks, without which the end of the connection may be anywhere in the body.
     if (!isFramed(headers) && !bodylessStatuses.has(status)) {
@@ -57,25 +58,38 @@
 }
 
 /**
- * Sends one HTTP request and returns once the response headers have arrived.
+ * Sends one HTTP request and reads the response as a stream.
  *
  * @param exchange - Request, limits and connection pool
- * @returns Status, headers and unread body
- * @throws Error if the connection fails
+ * @param onData - Takes each part of the body of a response with status 200; what it throws ends the exchange
+ * @param onHead - Called with the status
+ * @returns The response with its body, which is empty if `onData` took it
+ * @throws Error if the connection fails or a limit is exceeded
  */
-export function openExchange(exchange: ExchangeRequest): Promise<Dispatcher.ResponseData> {
+export function sendStreamExchange(
+  exchange: ExchangeRequest,
+  onData: (data: Buffer) => void,
+  onHead: (status: number) => void = () => undefined,
+): Promise<BoundedResponse> {
+  const { answerTimeoutMs, deadlineMs = defaults.maxDeadlineMs } = exchange;
+  // A stream may last longer than the time in which each of its parts has to come.
+  const timeoutMs = Math.max(answerTimeoutMs, deadlineMs) + STREAM_END_MARGIN_MS;
+  return sendRequest(exchange, { timeoutMs, idleTimeoutMs: answerTimeoutMs, onData, onHead });
+}
+
+function sendRequest(
+  exchange: ExchangeRequest,
+  limits: Pick<BoundedRequest, 'timeoutMs' | 'idleTimeoutMs' | 'onData' | 'onHead'>,
+): Promise<BoundedResponse> {
   const headers: Record<string, string> = { authorization: `Bearer ${exchange.token}` };
   if (exchange.body !== undefined) headers['content-type'] = 'application/json';
   if (exchange.deadlineMs !== undefined) headers['x-deadline-ms'] = String(exchange.deadlineMs);
-  return request(exchange.url, {
+  return exchange.client.send(exchange.url, {
     method: exchange.method,
-    // A repeated or late answer on a kept connection would count as the answer to the next request.
-    reset: true,
     headers,
-    body: exchange.body ?? null,
-    dispatcher: exchange.dispatcher,
-    headersTimeout: exchange.answerTimeoutMs,
-    bodyTimeout: exchange.answerTimeoutMs,
+    body: exchange.body,
+    maxBytes: defaults.maxResponseBodyBytes,
+    ...limits,
   });
 }
 
--- a/test/failures/brokenStreams.spec.ts
+++ b/test/failures/brokenStreams.spec.ts
@@ -2,8 +2,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
-import { Agent } from 'undici';
-import { openExchange } from '../../src/client/entryExchange.js';
+import { BoundedClient } from '../../src/connection/boundedClient.js';
+import { sendStreamExchange } from '../../src/client/entryExchange.js';
 import { listenOnLoopback } from '../standins/httpServer.js';
 import { formatEvent } from '../standins/platformWorker.js';
 import type { RawRequest, RawWorker } from '../standins/rawWorker.js';
@@ -215,12 +215,14 @@
           body,
           deadlineMs: 2_000,
           answerTimeoutMs: 3_000,
-          dispatcher: new Agent(),
+          client: new BoundedClient(),
         } as const;
-        const response = await openExchange(exchange);
         let received = '';
         try {
-          for await (const data of response.body) received += String(data);
+          const response = await sendStreamExchange(exchange, (data) => {
+            received += data.toString('utf8');
+          });
+          received += response.body.toString('utf8');
         } catch {
           received += ' (cut)';
         }
@@ -228,7 +230,7 @@
           .map(([, part]) => part)
           .join('');
         const isDone = received.includes('[DONE]');
-        await exchange.dispatcher.destroy();
+        exchange.client.close();
         await pair.close();
         engine.closeAllConnections();
         engine.close();
--- a/test/failures/endlessResponses.spec.ts
+++ b/test/failures/endlessResponses.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
-import { Agent } from 'undici';
 import { RankEngineClient } from '../../platform/rankEngineClient.js';
 import { StoreClient } from '../../platform/storeClient.js';
+import { BoundedClient } from '../../src/connection/boundedClient.js';
 import { defaults } from '../../src/defaults.js';
 import { sendExchange } from '../../src/client/entryExchange.js';
 import { sendDedicated } from '../../src/process/agent/upstreams/sendDedicated.js';
@@ -71,16 +71,16 @@
       (reason: unknown) => reason,
     );
     expect(String(error)).to.include('exceeded');
-    const dispatcher = new Agent();
+    const client = new BoundedClient();
     const exchange = await sendExchange({
       method: 'GET',
       url: worker.url,
       token: 't',
       answerTimeoutMs: 5_000,
-      dispatcher,
+      client,
     });
     expect(exchange.isErr() && exchange.error.code).to.equal('connection_failed');
-    await dispatcher.destroy();
+    client.close();
     await waitUntil('connections closed', () => worker.active === 0);
     expect(worker.sentBytes).to.be.below(128 * MIB);
     await worker.close();
