--- a/src/process/group/engineClient.ts
+++ b/src/process/group/engineClient.ts
@@ -1,5 +1,7 @@
 import { Agent, request } from 'undici';
 import { z } from 'zod';
+import { createListSchema } from '../../connection/createListSchema.js';
+import { parseBoundedJson } from '../../connection/parseBoundedJson.js';
 import { readBoundedText } from '../../connection/readBounded.js';
 import { defaults } from '../../defaults.js';
 import type { FencingToken, EngineCommands } from '../../version/expertMap/types.js';
@@ -11,7 +13,7 @@
   step: z.number().int(),
   incarnation: z.number().int(),
 });
-const loadSchema = z.object({ load: z.array(z.array(z.number().nonnegative())) });
+const loadSchema = z.object({ load: createListSchema(createListSchema(z.number().nonnegative())) });
 
 const REQUEST_TIMEOUT_MS = 1_000;
 /** Loads of many experts queue at the rate-limited weight store. */
@@ -161,7 +163,7 @@
         bodyTimeout: REQUEST_TIMEOUT_MS,
       });
       const value = schema.safeParse(
-        JSON.parse(await readBoundedText(body, defaults.maxEngineReportBytes)),
+        parseBoundedJson(await readBoundedText(body, defaults.maxEngineReportBytes)),
       );
       return statusCode === 200 && value.success ? value.data : undefined;
     } catch {
--- a/src/process/membership/platformClient.ts
+++ b/src/process/membership/platformClient.ts
@@ -2,6 +2,8 @@
 import { Err, Ok } from 'ts-results-es';
 import { Agent, request } from 'undici';
 import { z } from 'zod';
+import { createListSchema } from '../../connection/createListSchema.js';
+import { parseBoundedJson } from '../../connection/parseBoundedJson.js';
 import { isFramed } from '../../connection/responseFraming.js';
 import { MAX_VALUE_BYTES } from '../../version/configuration/checkObject.js';
 import type { ListedHost } from './types.js';
@@ -12,7 +14,7 @@
 
 const keyListSchema = z.object({
   revision: z.number().int().nonnegative(),
-  keys: z.array(z.object({ key: z.string().max(256), revision: z.number().int() })),
+  keys: createListSchema(z.object({ key: z.string().max(256), revision: z.number().int() })),
 });
 const listedHostSchema = z.object({
   host: z.string().min(1).max(256),
@@ -109,6 +111,8 @@
     if (answer.isErr()) return answer;
     const hosts: ListedHost[] = [];
     for (const item of answer.value) {
+      // An issue for each of millions of other items takes seconds.
+      if (typeof item !== 'object' || item === null) continue;
       const parsed = listedHostSchema.safeParse(item);
       if (parsed.success) hosts.push(parsed.data);
     }
@@ -174,7 +178,7 @@
 /** Whether a text is a complete JSON document. */
 function isJson(text: string): boolean {
   try {
-    JSON.parse(text);
+    parseBoundedJson(text);
     return true;
   } catch {
     return false;
@@ -188,7 +192,7 @@
   if (text.isErr()) return text;
   let value: unknown;
   try {
-    value = JSON.parse(text.value);
+    value = parseBoundedJson(text.value);
   } catch (error) {
     return Err({ code: 'malformed', message: String(error) });
   }
