--- a/src/process/group/engineClient.ts
+++ b/src/process/group/engineClient.ts
@@ -1,6 +1,8 @@
 import { z } from 'zod';
 import { BoundedClient } from '../../connection/boundedClient.js';
 import { CallQueue } from '../../connection/callQueue.js';
+import { createListSchema } from '../../connection/createListSchema.js';
+import { parseBoundedJson } from '../../connection/parseBoundedJson.js';
 import { defaults } from '../../defaults.js';
 import type { FencingToken, EngineCommands } from '../../version/expertMap/types.js';
 import type { GroupLoad } from '../../version/placement/types.js';
@@ -11,7 +13,7 @@
   step: z.number().int(),
   incarnation: z.number().int(),
 });
-const loadSchema = z.object({ load: z.array(z.array(z.number().nonnegative())) });
+const loadSchema = z.object({ load: createListSchema(createListSchema(z.number().nonnegative())) });
 
 const REQUEST_TIMEOUT_MS = 1_000;
 /** Loads of many experts queue at the rate-limited weight store. */
@@ -166,7 +168,7 @@
         maxBytes: defaults.maxEngineReportBytes,
         timeoutMs: REQUEST_TIMEOUT_MS,
       });
-      const value = schema.safeParse(JSON.parse(body.toString('utf8')));
+      const value = schema.safeParse(parseBoundedJson(body.toString('utf8')));
       return status === HTTP_OK && value.success ? value.data : undefined;
     } catch {
       return undefined;
