test: the flood of a frame that never ends no longer completes its frame

The stand-in sent all but 1 KB of the frame at once and then single bytes, so the frame ended, malformed, and the link was opened again.

--- a/test/standins/floodingPeer.ts
+++ b/test/standins/floodingPeer.ts
@@ -73,7 +73,7 @@
   /** A frame that never ends, byte by byte. */
   partial: () => (index: number) => {
     if (index > 0) return Buffer.alloc(1);
-    const start = Buffer.alloc(defaults.maxFrameBytes - MARGIN_BYTES);
+    const start = Buffer.alloc(LARGE_BYTES / 2);
     start.writeUInt32BE(defaults.maxFrameBytes);
     return start;
   },
