test: readers of the scheduler's tests end with the test

The tests of the scheduler left readers that always have more to read; they were woken in each turn of the event loop for the rest of the run, and noted each slice in a list.

Each test now removes its readers.

--- a/src/connection/readScheduler.spec.ts
+++ b/src/connection/readScheduler.spec.ts
@@ -4,6 +4,12 @@
 const waitForTurn = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
 
 describe('scheduler of reads', () => {
+  /** Readers that always have more to read, and would be woken for as long as the process of the tests runs. */
+  const endless: { scheduler: ReadScheduler; reader: ScheduledReader }[] = [];
+  afterEach(() => {
+    for (const { scheduler, reader } of endless.splice(0)) scheduler.remove(reader, 0);
+  });
+
   /** Starts readers that always have more to read, and counts the time that each gets. */
   function startReaders(
     scheduler: ReadScheduler,
@@ -20,6 +26,7 @@
         }
       };
       const reader = new ScheduledReader(new ReadFlow(), read);
+      endless.push({ scheduler, reader });
       return { reader, read };
     });
     for (const { read } of readers) read();
@@ -76,6 +83,7 @@
         }
       };
       const reader = new ScheduledReader(flow, read);
+      endless.push({ scheduler, reader });
       read();
       return reader;
     };
