test: a sound response of 30 MB and a stream kept open with comments pass whole at a gateway

Beside a stream without end of another service, in chunks of 64,000, 1,000 and 100 bytes. Guards the other side of the bounds on responses.

--- a/test/failures/endlessResponses.spec.ts
+++ b/test/failures/endlessResponses.spec.ts
@@ -1,3 +1,4 @@
+import { randomBytes } from 'node:crypto';
 import { expect } from 'chai';
 import { RankEngineClient } from '../../platform/rankEngineClient.js';
 import { StoreClient } from '../../platform/storeClient.js';
@@ -21,6 +22,9 @@
 const MIB = 1024 * 1024;
 /** Twice the largest bound. */
 const MAX_MEMORY_BYTES = 2 * defaultResponseLimits.maxBodyBytes;
+const LARGE_BYTES = 30 * MIB;
+const KEEP_ALIVE_COMMENTS = 100;
+const KEEP_ALIVE_INTERVAL_MS = 15;
 const EVENT_INTERVAL_MS = 50;
 const EVENTS = 20;
 const MAX_GAP_MS = 300;
@@ -34,6 +38,43 @@
   'repeatedEvent',
 ]);
 
+function splitText(text: string, size: number): string[] {
+  const parts: string[] = [];
+  for (let start = 0; start < text.length; start += size)
+    parts.push(text.slice(start, start + size));
+  return parts;
+}
+
+/** Routes of two services, the second of which has a route for a flood. */
+function createTwoServices(): object {
+  const base = {
+    host: 'app.example',
+    timeoutMs: 15_000,
+    targetLatencyMs: 2_000,
+    targetGapMs: 500,
+    priority: 1,
+    public: false,
+    maxAttempts: 2,
+  };
+  return {
+    routes: [
+      {
+        ...base,
+        name: 'lookup',
+        prefix: '/lookup/',
+        routeType: 'idempotent',
+        service: 'assistant',
+      },
+      { ...base, name: 'flood', prefix: '/flood/', routeType: 'streaming', service: 'other' },
+    ],
+    services: ['assistant', 'other'].map((name) => ({
+      name,
+      healthPath: '/health',
+      maxConns: 100,
+    })),
+  };
+}
+
 describe('endless responses to reads of a process', () => {
   // Without a bound, each read of the store or of a report keeps what arrives until its time-out.
   it('guards against keeping an endless response of the store or of an engine in memory', async () => {
@@ -161,6 +202,59 @@
     expect(endless.requests.length).to.be.greaterThan(0);
   });
 
+  for (const chunkBytes of [64_000, 1_000, 100]) {
+    it(`guards against a sound response of 30 MB that does not pass byte for byte beside one without end; chunks of ${chunkBytes} bytes`, async () => {
+      const body = randomBytes(LARGE_BYTES / 2).toString('hex');
+      const chunks = splitText(body, chunkBytes).map(formatChunk).join('');
+      const sound = await startRawWorker('i-a', (socket, { requestId }) => {
+        socket.write(formatHead(requestId, ['Transfer-Encoding: chunked']));
+        socket.end(chunks + formatChunk(''), 'latin1');
+      });
+      const endless = await startEndlessWorker('i-b', 'newEvents');
+      workers = [sound, endless];
+      fixture = await startGatewayFixture({ workers: 0, ownWorkers: [sound] });
+      fixture.publishWorker(endless, { service: 'other' });
+      fixture.publishConfiguration(2, createTwoServices());
+      const url = fixture.urls[0] ?? '';
+      const isInForce = (): boolean =>
+        JSON.stringify(fixture.gateways[0]?.dump()).includes('"i-b"');
+      await waitUntil('both services known', isInForce);
+      await waitUntil('routes known', async () => {
+        const { status } = await callGateway(url, '/flood/a', { 'deadline-ms': '50' });
+        return status !== 404;
+      });
+      const headers = { 'deadline-ms': '15000' };
+      const flood = callGateway(url, '/flood/a', { 'deadline-ms': '5000' });
+      const answer = await callGateway(url, '/lookup/a', headers);
+      expect(answer).to.include({ status: 200, isComplete: true });
+      expect(answer.body === body).to.equal(true);
+      await flood;
+    }).timeout(40_000);
+  }
+
+  it('guards against a stream that ends because its upstream keeps it open with comments', async () => {
+    const sound = await startRawWorker('i-a', (socket, { requestId }) => {
+      socket.write(
+        formatHead(requestId, ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked']),
+      );
+      socket.write(formatChunk(formatEvent(1)));
+      let comments = 0;
+      const timer = setInterval(() => {
+        comments += 1;
+        socket.write(formatChunk(': keep-alive\n\n'));
+        if (comments < KEEP_ALIVE_COMMENTS) return;
+        clearInterval(timer);
+        socket.end(formatChunk(formatEvent(2)) + formatChunk(''));
+      }, KEEP_ALIVE_INTERVAL_MS);
+    });
+    workers = [sound];
+    fixture = await startGatewayFixture({ workers: 0, ownWorkers: workers });
+    const answer = await callGateway(fixture.urls[0] ?? '', '/talk/a', { 'deadline-ms': '3000' });
+    expect(answer).to.include({ status: 200, isComplete: true });
+    expect(answer.body.split(': keep-alive').length - 1).to.equal(KEEP_ALIVE_COMMENTS);
+    expect(answer.body).to.include(formatEvent(2));
+  });
+
   // Such a body never exceeds the bounds within the time limit, so each request to its upstream took all of its time.
   it('guards against further requests to an upstream whose body of tiny parts did not end in time', async () => {
     const endless = await startEndlessWorker('i-a', 'byteChunks');
