fix: connections to upstreams send without delay again

connectMetered now sets it for all connections. Before, the flag of such a socket is false and that of a plain one true; after, both are true.

--- a/src/connection/boundedConnection.ts
+++ b/src/connection/boundedConnection.ts
@@ -169,7 +169,7 @@
   ): void {
     const address = { host: hostname, port: port === '' ? DEFAULT_HTTP_PORT : Number(port) };
     const socket = connectMetered(address, { onRead: () => undefined });
-    socket.setNoDelay(true).setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
+    socket.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
     this.bindSocket(socket);
     const cancelTimeout = startTimeout(timeoutMs, () => {
       socket.destroy(new errors.ConnectTimeoutError('connection attempt timed out'));
--- a/src/connection/meteredSocket.ts
+++ b/src/connection/meteredSocket.ts
@@ -114,7 +114,7 @@
 }
 
 /**
- * Opens a metered connection.
+ * Opens a metered connection, which sends without delay.
  *
  * @param address - Address
  * @param options - Observer, and what the connection shares
@@ -122,6 +122,8 @@
  */
 export function connectMetered(address: NetConnectOpts, options: MeteredOptions): MeteredSocket {
   const socket = new MeteredSocket(options);
+  // An option of the address counts only in the constructor of a plain socket.
+  socket.setNoDelay(true);
   socket.connect(address);
   return socket;
 }
--- a/src/request/forwarding/upstreamExchange.ts
+++ b/src/request/forwarding/upstreamExchange.ts
@@ -157,7 +157,7 @@
   private openSocket(callback: buildConnector.Callback): void {
     const { host, port } = parseAddress(this.request.address);
     const socket = connectMetered(
-      { host, port, noDelay: true },
+      { host, port },
       {
         flow: this.request.flow,
         onRead: (bytes, tookMs) => {
