--- a/src/connection/readScheduler.ts
+++ b/src/connection/readScheduler.ts
@@ -115,7 +115,7 @@
     reader.sliceStartedAt = undefined;
     reader.usedMs += tookMs;
     reader.finishedAt = reader.startsAt + tookMs;
-    reader.sliceBytes = adaptSlice(reader.sliceBytes, tookMs);
+    reader.sliceBytes = computeSliceBytes(reader.sliceBytes, tookMs);
     flow.finishedAt = flow.startsAt + tookMs;
     if (flow.waiting.size > 0) flow.request(this.virtualTime);
     this.turnUsedMs += tookMs;
@@ -179,7 +179,7 @@
   return earliest;
 }
 
-function adaptSlice(bytes: number, tookMs: number): number {
+function computeSliceBytes(bytes: number, tookMs: number): number {
   if (tookMs > SLOW_SLICE_MS) return Math.max(MIN_SLICE_BYTES, bytes / 2);
   return tookMs < FAST_SLICE_MS ? Math.min(MAX_SLICE_BYTES, bytes * 2) : bytes;
 }
